--- /dev/null
+++ b/apps/wrenusher/main.cpp
@@ -0,0 +1,71 @@
+// The wrenusher daemon: reads its settings, listens, and runs until it is ended.
+
+#include <spdlog/cfg/env.h>
+#include <spdlog/sinks/stdout_sinks.h>
+#include <spdlog/spdlog.h>
+
+#include <CLI/CLI.hpp>
+#include <cstdlib>
+#include <iostream>
+
+#include "wrenusher/controller.hpp"
+#include "wrenusher/net.hpp"
+
+namespace {
+
+constexpr int kBadSettings = 2;
+constexpr int kCannotRun = 1;
+
+void set_up_log() {
+  spdlog::set_default_logger(std::make_shared<spdlog::logger>("wrenusher", std::make_shared<spdlog::sinks::stderr_sink_st>()));
+  spdlog::set_pattern("%Y-%m-%dT%H:%M:%S.%e %l %v");
+  const char* level = std::getenv("LOG_LEVEL");
+  spdlog::set_level(level != nullptr && *level != '\0' ? spdlog::level::from_str(level) : spdlog::level::info);
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  CLI::App app{"wrenusher: a cluster scheduler. Takes jobs from users, rents machines and decides what runs where."};
+  std::string config;
+  std::string tunables;
+  bool check = false;
+  app.add_option("--config", config, "settings file (JSON) of this controller")->required();
+  app.add_option("--tunables", tunables, "operators' own settings (YAML), all optional");
+  app.add_flag("--check", check, "read the settings, say whether they are valid, and exit");
+  app.set_version_flag("--version", std::string("wrenusher ") + WRENUSHER_VERSION);
+  try {
+    app.parse(argc, argv);
+  } catch (const CLI::ParseError& e) {
+    return app.exit(e) == 0 ? 0 : kBadSettings;
+  }
+  wrenusher::Settings settings;
+  try {
+    settings = wrenusher::load_settings(config);
+    if (!tunables.empty()) settings.tunables = wrenusher::load_tunables(tunables);
+  } catch (const wrenusher::SettingsError& e) {
+    std::cerr << "wrenusher: " << e.what() << '\n';
+    return kBadSettings;
+  }
+  if (check) {
+    std::cout << "settings are valid\n";
+    return 0;
+  }
+  set_up_log();
+  try {
+    wrenusher::UvRuntime runtime(settings.max_sockets);
+    wrenusher::Controller controller(runtime, settings);
+    runtime.listen(settings.client_listen, std::max(16, settings.max_sockets * 5 / 6), [&](const wrenusher::Request& r, const wrenusher::Answer& a) {
+      controller.serve_client(r, a);
+    });
+    runtime.listen(settings.peer_listen, 16,
+                   [&](const wrenusher::Request& r, const wrenusher::Answer& a) { controller.serve_peer(r, a); });
+    spdlog::info("wrenusher {} starts as {} in zone {}", WRENUSHER_VERSION, settings.node, settings.zone);
+    controller.start();
+    runtime.run();
+  } catch (const std::exception& e) {
+    std::cerr << "wrenusher: " << e.what() << '\n';
+    return kCannotRun;
+  }
+  return 0;
+}
--- /dev/null
+++ b/include/wrenusher/frontdesk.hpp
@@ -0,0 +1,57 @@
+#pragma once
+// Users' requests, on any node: everything is decided by the state service, nothing by this node's memory but
+// final states.
+
+#include <deque>
+#include <memory>
+#include <unordered_map>
+
+#include "wrenusher/peer.hpp"
+
+namespace wrenusher {
+
+/// The machine types, as the cloud or the state service last gave them.
+struct CatalogSeen {
+  std::shared_ptr<const Catalog> catalog;
+};
+
+class Frontdesk {
+ public:
+  Frontdesk(Runtime& rt, const Settings& settings, Store& store);
+  void serve(const Request& request, const Answer& answer);
+
+  void on_catalog(const CatalogSeen& c) { catalog_ = c.catalog; }
+  void on_peer(const PeerNews& news);
+
+  Sink<JobWithdrawn> withdrawn;
+
+ private:
+  struct State {
+    std::string status;
+    std::uint64_t done = 0;
+    std::uint64_t running = 0;
+  };
+  /// The state of a job; `failed`: the state service could not be asked.
+  struct Found {
+    bool failed = true;
+    std::optional<State> state;
+  };
+  void lookup(const std::string& ref, std::function<void(Found)> done);
+  void submit(const Request& request, const Answer& answer);
+  void poll(const std::string& ref, const Answer& answer);
+  void withdraw(const std::string& ref, int tries, const Answer& answer);
+  void known_or(const std::string& ref, Response otherwise, const Answer& answer);
+  void remember(const std::string& ref, const State& s);
+  bool ready() const;
+
+  Runtime& rt_;
+  const Settings& settings_;
+  Store& store_;
+  std::shared_ptr<const Catalog> catalog_;
+  std::map<std::string, std::pair<Instant, bool>> peers_;
+  /// Final states never change, so an old answer is as good as a new one.
+  std::unordered_map<std::string, State> finals_;
+  std::deque<std::string> finals_order_;
+};
+
+}  // namespace wrenusher
--- /dev/null
+++ b/include/wrenusher/messages.hpp
@@ -0,0 +1,136 @@
+#pragma once
+// Typed messages of the protocol and their codecs.
+
+#include <cmath>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "wrenusher/time.hpp"
+#include "wrenusher/value.hpp"
+
+namespace wrenusher {
+
+enum class Shape { sweep, gang, daemon };
+/// In falling order of importance.
+enum class Urgency { prod, high, normal, low };
+
+/// Amounts are compared and summed exactly, in millionths.
+using Amount = std::int64_t;
+inline Amount to_amount(double x) { return static_cast<Amount>(std::llround(x * 1e6)); }
+constexpr double from_amount(Amount a) { return static_cast<double>(a) / 1e6; }
+
+struct Needs {
+  Amount cores = 0;
+  Amount cards = 0;
+  Amount memory = 0;
+
+  bool fits(const Needs& room) const {
+    return cores <= room.cores && cards <= room.cards && memory <= room.memory;
+  }
+  Needs& operator+=(const Needs& o);
+  Needs& operator-=(const Needs& o);
+  Needs operator*(std::int64_t n) const { return {cores * n, cards * n, memory * n}; }
+  bool operator==(const Needs&) const = default;
+};
+
+/// A job as its user described it.
+struct JobSpec {
+  std::string ref;
+  std::string queue;
+  std::string owner;
+  Shape shape = Shape::sweep;
+  Urgency urgency = Urgency::normal;
+  std::uint32_t units = 0;
+  Needs needs;
+  std::string bundle;
+  double image_gb = 0;
+  std::vector<std::string> flavors;  ///< empty: any
+  std::string site;                  ///< empty: any
+  bool same_place = false;
+  bool scatter = false;
+  bool standby = false;
+  Micros expected{};
+  Micros snapshot_every{};
+  Micros snapshot{};
+  std::optional<Micros> due;
+
+  bool saves() const { return snapshot_every.count() > 0; }
+  bool allows(const std::string& flavor, const std::string& zone, bool spot) const;
+  bool operator==(const JobSpec&) const = default;
+};
+
+inline constexpr std::uint32_t kMaxUnits = 100000;
+
+/// "req-" and digits, and short enough to be part of a key.
+bool valid_ref(std::string_view ref);
+/// Reads a submission; nothing when a field is missing or invalid.
+std::optional<JobSpec> read_spec(const Value& v);
+Value write_spec(const JobSpec& spec);
+
+enum class UnitStatus { pulling, gathering, running, saving, ended };
+
+struct UnitReport {
+  std::string ref;
+  std::uint32_t task = 0;
+  std::uint64_t attempt = 0;
+  UnitStatus status = UnitStatus::running;
+  std::string cause;
+  bool kept = false;
+};
+
+struct WorkerReport {
+  std::string host;
+  std::string addr;
+  std::string flavor;
+  std::string site;
+  bool standby = false;
+  std::uint64_t tenure = 0;
+  std::uint64_t serial = 0;
+  std::uint64_t epoch = 0;
+  std::optional<Micros> warning;
+  std::vector<UnitReport> units;
+};
+std::optional<WorkerReport> read_report(const Value& v);
+
+struct Order {
+  enum class Verb { run, halt, reap };
+  Verb verb = Verb::run;
+  std::string ref;
+  std::uint32_t task = 0;
+  std::uint64_t attempt = 0;
+  Micros leeway{};
+};
+Value write_orders(const std::vector<Order>& orders);
+std::string unit_name(const std::string& ref, std::uint32_t task);
+
+struct Flavor {
+  std::string name;
+  Needs room;
+  double cache_gb = 0;
+  double pull_gb_per_s = 0;
+  double rate = 0;
+  double low_price = 0;
+  Micros boot{};
+  std::vector<std::string> sites;
+};
+using Catalog = std::map<std::string, Flavor>;
+std::optional<Catalog> read_catalog(const Value& v);
+
+struct Rental {
+  std::string ref;
+  std::string addr;
+  std::string flavor;
+  std::string site;
+  bool standby = false;
+  std::string status;
+  Micros held{};
+};
+std::optional<Rental> read_rental(const Value& v);
+
+/// Why a job can never run with these machine types and teams; empty when it can.
+std::string never_runs(const JobSpec& spec, const Catalog& catalog, const struct Team* team);
+
+}  // namespace wrenusher
--- /dev/null
+++ b/include/wrenusher/net.hpp
@@ -0,0 +1,58 @@
+#pragma once
+// HTTP/1.1 on a libuv loop: the listening side, pooled outgoing connections, and the socket budget.
+
+#include <uv.h>
+
+#include <deque>
+#include <list>
+#include <map>
+#include <memory>
+
+#include "wrenusher/runtime.hpp"
+
+namespace wrenusher {
+
+/// Largest body of a request and of an answer to workers and users.
+inline constexpr std::size_t kMaxBody = 64 * 1024;
+
+class UvRuntime : public Runtime {
+ public:
+  using Handler = std::function<void(Request, Answer)>;
+
+  /// `max_sockets` is the limit of the whole process.
+  explicit UvRuntime(int max_sockets);
+  ~UvRuntime() override;
+
+  /// Throws std::runtime_error when the address cannot be listened on. `most` bounds its open connections.
+  void listen(const Endpoint& at, int most, Handler handler);
+  void run();
+
+  Instant now() const override;
+  WallTime wall() const override;
+  std::mt19937_64& random() override { return random_; }
+  void post(std::function<void()> f) override;
+  void after(Micros delay, std::function<void()> f) override;
+  void fetch(const Endpoint& to, Request request, Micros timeout, Done done) override;
+
+ private:
+  struct Listener;
+  struct Inbound;
+  struct Outbound;
+  struct Pool;
+  void drain();
+  void sweep();
+  void pump(Pool& pool);
+
+  uv_loop_t loop_{};
+  uv_check_t mail_check_{};
+  uv_idle_t mail_idle_{};
+  std::deque<std::function<void()>> mail_;
+  bool draining_ = false;
+  std::mt19937_64 random_;
+  int max_sockets_;
+  int open_sockets_ = 0;
+  std::vector<std::unique_ptr<Listener>> listeners_;
+  std::map<Endpoint, std::unique_ptr<Pool>> pools_;
+};
+
+}  // namespace wrenusher
--- /dev/null
+++ b/include/wrenusher/peer.hpp
@@ -0,0 +1,44 @@
+#pragma once
+// Heartbeats between controllers: epoch, leader, what each can reach, and cancellations just accepted.
+
+#include <deque>
+
+#include "wrenusher/leadership.hpp"
+
+namespace wrenusher {
+
+/// A user was told that this job is cancelled.
+struct JobWithdrawn {
+  std::string ref;
+};
+
+class Peer {
+ public:
+  Peer(Runtime& rt, const Settings& settings);
+  void start();
+  /// Another controller's request on `peer_listen`.
+  void serve(const Request& request, const Answer& answer);
+
+  void on_term(const TermChanged& t) { term_ = t; }
+  void on_health(const StoreHealth& h) { store_ = h.reachable; }
+  void on_hearing(const Hearing& h) { hears_ = h.hears_workers; }
+  void on_withdrawn(const JobWithdrawn& w);
+
+  Sink<PeerNews> news;
+  Sink<JobWithdrawn> withdrawn;
+
+ private:
+  void beat();
+  void send();
+  Value describe() const;
+  void learn(const Value& v);
+
+  Runtime& rt_;
+  const Settings& settings_;
+  TermChanged term_;
+  bool store_ = false;
+  bool hears_ = false;
+  std::deque<std::pair<Instant, std::string>> recent_;
+};
+
+}  // namespace wrenusher
--- /dev/null
+++ b/include/wrenusher/planner.hpp
@@ -0,0 +1,83 @@
+#pragma once
+// Pure functions: a snapshot in, decisions out. Rank, order and place are the paper's (section IV.B).
+
+#include <map>
+#include <string>
+#include <vector>
+
+#include "wrenusher/messages.hpp"
+#include "wrenusher/settings.hpp"
+
+namespace wrenusher::planner {
+
+struct PlanJob {
+  const JobSpec* spec = nullptr;
+  std::uint32_t waiting = 0;
+  Micros estimate{};
+  WallTime accepted{};
+  /// Zones where tasks of the job are now, with their number.
+  std::map<std::string, std::uint32_t> zones;
+  /// Machines that the job keeps off for now.
+  const std::map<std::string, Instant>* avoid = nullptr;
+};
+
+struct PlanHost {
+  std::string name;
+  std::string site;
+  const Flavor* flavor = nullptr;
+  bool standby = false;
+  Needs room;  ///< what no claim has booked
+  double speed = 1.0;
+  std::uint32_t fetching = 0;
+  const std::map<std::string, std::uint64_t>* images = nullptr;  ///< cached or on their way
+};
+
+/// A team's use, claimed or running, against its guarantee and ceiling.
+struct TeamUse {
+  Needs used;
+};
+
+struct Snapshot {
+  WallTime now{};
+  Instant clock{};
+  std::vector<PlanJob> jobs;
+  std::vector<PlanHost> hosts;
+  std::map<std::string, TeamUse> teams;
+  const Settings* settings = nullptr;
+};
+
+struct Placement {
+  std::size_t job = 0;
+  std::size_t host = 0;
+  std::uint32_t tasks = 0;
+};
+
+/// Tasks that their team's ceiling would allow now, but for which no machine has room.
+struct Shortage {
+  std::size_t job = 0;
+  std::uint32_t tasks = 0;
+};
+
+struct Plan {
+  std::vector<Placement> placements;
+  std::vector<Shortage> shortages;
+};
+
+/// Equation (2) of the paper. The protocol names no successors, so each job is a graph of one task and the
+/// maximum over its successors is 0.
+Micros rank(const PlanJob& job);
+/// Time until `image` is on the machine: 0 where cached, else at the rate shared with the fetches under way.
+Micros fetch_time(const PlanHost& host, const JobSpec& spec);
+/// Equation (5): when a task started now on this machine would end, counted from now.
+Micros finish_time(const PlanHost& host, const PlanJob& job);
+/// The jobs in the order in which they are served.
+std::vector<std::size_t> order(const Snapshot& s);
+Plan place(Snapshot s);
+
+/// How many tasks of a need fit into a room.
+std::uint32_t count_fitting(const Needs& need, const Needs& room, std::uint32_t most);
+/// How many more tasks the job may put into the zone, given where its tasks are.
+std::uint32_t zone_allowance(const JobSpec& spec, const std::map<std::string, std::uint32_t>& zones,
+                             const std::string& zone);
+
+}  // namespace wrenusher::planner
--- /dev/null
+++ b/include/wrenusher/provisioner.hpp
@@ -0,0 +1,99 @@
+#pragma once
+// Rents machines for the backlog and returns what is idle, silent, slow to boot or faulty.
+
+#include <deque>
+#include <functional>
+#include <set>
+
+#include "wrenusher/ledger.hpp"
+
+namespace wrenusher {
+
+class Provisioner {
+ public:
+  Provisioner(Runtime& rt, const Settings& settings, Store& store);
+  void start();
+
+  void on_term(const TermChanged& t);
+  void on_certainty(const Certainty& c) { certain_until_ = c.until; }
+  void on_workload(const Workload& w);
+  void on_quiet(const HostQuiet& q);
+  void on_suspect(const HostCondemned& c);
+
+  Sink<CatalogSeen> catalog_seen;
+  Sink<HostCondemned> condemned;
+  Sink<HostGone> gone;
+
+ private:
+  struct Machine {
+    std::string flavor;
+    std::string site;
+    bool standby = false;
+    bool up = false;  ///< its worker has reported in this term
+    bool returning = false;
+    bool draining = false;  ///< gets no new tasks and goes back once the last has ended
+    bool running = false;   ///< listed as running
+    Instant rented{};
+    Instant expected{};     ///< to report by then
+    Instant idle_since{};
+  };
+  /// One kind of machine: type, zone, and spot or ordinary.
+  struct Kind {
+    std::string flavor;
+    std::string site;
+    bool standby = false;
+    auto operator<=>(const Kind&) const = default;
+  };
+  struct Booking {
+    std::string name;
+    Kind kind;
+    std::uint32_t count = 0;
+    int tries = 0;
+  };
+
+  void tick();
+  void pump();
+  void cloud(Request request, bool first, std::function<void(const Outcome&)> done);
+  void ask_catalog();
+  void read_catalog_record();
+  void take_catalog(const Value& v);
+  void write_catalog(const Value& v);
+  void ask_list(const std::string& from);
+  void take_rental(const Rental& r);
+  void book(const Kind& kind, std::uint32_t count);
+  void send_rental(const Booking& b);
+  void give_back(const std::string& host, const char* why);
+  Machine& know(const std::string& host);
+  Micros patience(const std::string& flavor) const;
+  bool certain() const { return term_.leading && rt_.now() < certain_until_; }
+  void send_return();
+  void review();
+  void plan_rentals();
+
+  Runtime& rt_;
+  const Settings& settings_;
+  Store& store_;
+  TermChanged term_;
+  Instant certain_until_{};
+  std::shared_ptr<const Catalog> catalog_;
+  std::string catalog_written_;
+  Pace pace_;
+  /// Waiting calls to the cloud; what frees stuck work stands in front.
+  std::deque<std::function<void()>> calls_;
+  bool pumping_ = false;
+  int troubles_ = 0;
+  Instant cloud_not_before_{};
+  Instant next_list_{};
+  Instant next_catalog_{};
+  Instant rent_not_before_{};
+  bool listing_ = false;
+  bool returning_ = false;
+  std::uint64_t bookings_made_ = 0;
+  std::map<std::string, Booking> open_bookings_;
+  std::map<Kind, Instant> refused_until_;
+  std::map<std::string, Machine> machines_;
+  std::set<std::string> to_return_;
+  Workload load_;
+};
+
+}  // namespace wrenusher
--- /dev/null
+++ b/include/wrenusher/settings.hpp
@@ -0,0 +1,72 @@
+#pragma once
+// The settings file that the platform hands over (JSON) and the operators' own tunables (YAML).
+
+#include <stdexcept>
+#include <string>
+#include <vector>
+
+#include "wrenusher/runtime.hpp"
+
+namespace wrenusher {
+
+struct Team {
+  std::string name;
+  double cores = 0;  ///< guaranteed; 0: none
+  double cores_max = 0;  ///< ceiling; 0: none
+  double cards = 0;
+  double cards_max = 0;
+};
+
+struct PeerAddress {
+  std::string name;
+  std::string zone;
+  Endpoint at;
+};
+
+/// Values that operators may change in their own YAML file.
+struct Tunables {
+  Micros hold_life = millis(4000);
+  Micros round = millis(200);
+  Micros idle_return = from_seconds(30);
+  double silent_reports = 5.0;
+  double slow_boot_factor = 2.5;
+};
+
+struct Settings {
+  std::string node;
+  std::string zone;
+  Endpoint client_listen;
+  Endpoint peer_listen;
+  std::vector<PeerAddress> peers;
+  Endpoint cloud;
+  Endpoint state;
+  std::vector<std::string> zones;
+  std::vector<Team> teams;
+  Micros report{};
+  Micros lease{};
+  Micros gang_wait{};
+  Micros gang_peer{};
+  Micros cancel{};
+  double state_rps = 0;
+  double state_write_rps = 0;
+  double value_kb = 0;
+  std::size_t txn_ops = 0;
+  double cloud_rps = 0;
+  Micros list_lag{};
+  int max_sockets = 0;
+  Tunables tunables;
+
+  const Team* team(const std::string& name) const;
+};
+
+/// A mistake in a settings file; what() is one line that names the field.
+struct SettingsError : std::runtime_error {
+  using std::runtime_error::runtime_error;
+};
+
+Settings parse_settings(const std::string& json);
+Settings load_settings(const std::string& path);
+Tunables parse_tunables(const std::string& yaml);
+Tunables load_tunables(const std::string& path);
+
+}  // namespace wrenusher
--- /dev/null
+++ b/include/wrenusher/store.hpp
@@ -0,0 +1,131 @@
+#pragma once
+// Client of the state service: paces requests and changes to this node's share, and tells apart "not
+// executed" from "may have been executed".
+
+#include <deque>
+
+#include "wrenusher/messages.hpp"
+#include "wrenusher/runtime.hpp"
+#include "wrenusher/settings.hpp"
+
+namespace wrenusher {
+
+struct Row {
+  std::string key;
+  Value value;
+  std::uint64_t stamp = 0;
+};
+
+struct Read {
+  enum class Result { ok, failed };
+  Result result = Result::failed;
+  std::vector<Row> rows;  ///< empty: absent
+  bool truncated = false;
+  std::uint64_t revision = 0;
+};
+
+struct Condition {
+  std::string key;
+  std::uint64_t stamp = 0;
+};
+
+struct Change {
+  std::string key;
+  std::optional<Value> put;  ///< nothing: delete
+  std::uint64_t tenancy = 0;
+};
+
+struct Commit {
+  enum class Result {
+    committed,
+    conflict,  ///< a condition failed: nothing was executed
+    refused,   ///< certainly not executed
+    unknown,   ///< executed, or may yet be
+    invalid    ///< the service calls it malformed
+  };
+  Result result = Result::refused;
+  std::uint64_t revision = 0;
+  std::vector<std::string> failed;
+};
+
+struct HoldReply {
+  enum class Result { ok, gone, failed };
+  Result result = Result::failed;
+  std::uint64_t tenancy = 0;
+};
+
+struct FollowReply {
+  enum class Result { ok, too_old, failed };
+  Result result = Result::failed;
+  std::uint64_t revision = 0;
+  std::vector<Row> puts;
+  std::vector<std::string> deletes;
+};
+
+/// Whether the state service answered this node of late.
+struct StoreHealth {
+  bool reachable = false;
+};
+
+/// Tokens that refill at a steady rate, with at most one second's worth kept.
+class Pace {
+ public:
+  Pace(double per_second, Instant now) : rate_(per_second), tokens_(per_second), at_(now) {}
+  void rate(double per_second) { rate_ = per_second; }
+  bool take(double n, Instant now);
+  /// Takes even what is not there: for calls that must not wait.
+  void force(double n, Instant now);
+
+ private:
+  void refill(Instant now);
+  double rate_;
+  double tokens_;
+  Instant at_;
+};
+
+class Store {
+ public:
+  /// Keep the hold; schedule; users. Users' calls are refused at once when the pace is used up.
+  enum class Urgent { hold, schedule, user };
+
+  Store(Runtime& rt, const Settings& settings);
+
+  void get(const std::string& key, Urgent urgent, std::function<void(Read)> done);
+  void list(const std::string& prefix, const std::string& from, int limit, Urgent urgent,
+            std::function<void(Read)> done);
+  void commit(const std::vector<Condition>& when, const std::vector<Change>& apply, Urgent urgent,
+              std::function<void(Commit)> done);
+  void hold(Micros life, std::function<void(HoldReply)> done);
+  void extend(std::uint64_t tenancy, std::function<void(HoldReply)> done);
+  void drop(std::uint64_t tenancy);
+  void follow(const std::string& prefix, std::uint64_t from, Micros wait, std::function<void(FollowReply)> done);
+
+  /// The leader does most of the work and so gets most of the pace.
+  void leading(bool yes);
+  bool reachable() const;
+
+  Sink<StoreHealth> health;
+
+ private:
+  struct Queued {
+    double writes;
+    std::function<void()> send;
+  };
+  void submit(Urgent urgent, double writes, std::function<void()> send, std::function<void()> refuse);
+  void pump();
+  void call(Request request, Micros timeout, Done done);
+  void seen(bool good);
+
+  Runtime& rt_;
+  const Settings& settings_;
+  Pace requests_;
+  Pace writes_;
+  std::deque<Queued> queue_;
+  bool pumping_ = false;
+  Instant last_good_{};
+  bool ever_good_ = false;
+  bool told_ = false;
+  Instant backoff_until_{};
+};
+
+}  // namespace wrenusher
--- /dev/null
+++ b/src/controller.cpp
@@ -0,0 +1,76 @@
+#include "wrenusher/controller.hpp"
+
+namespace wrenusher {
+
+namespace {
+
+/// Delivers the messages of a sink to a member function of an actor.
+template <typename Message, typename Actor>
+void wire(Runtime& rt, Sink<Message>& from, Actor& to, void (Actor::*receive)(const Message&)) {
+  from.connect(rt, [&to, receive](const Message& m) { (to.*receive)(m); });
+}
+
+}  // namespace
+
+Controller::Controller(Runtime& rt, Settings settings)
+    : settings_(std::move(settings)),
+      store_(rt, settings_),
+      leadership_(rt, settings_, store_),
+      peer_(rt, settings_),
+      frontdesk_(rt, settings_, store_),
+      fleet_(rt, settings_),
+      ledger_(rt, settings_, store_),
+      provisioner_(rt, settings_, store_) {
+  wire(rt, store_.health, peer_, &Peer::on_health);
+
+  wire(rt, leadership_.changed, peer_, &Peer::on_term);
+  wire(rt, leadership_.changed, fleet_, &Fleet::on_term);
+  wire(rt, leadership_.changed, provisioner_, &Provisioner::on_term);
+  wire(rt, leadership_.changed, ledger_, &Ledger::on_term);
+  wire(rt, leadership_.certainty, fleet_, &Fleet::on_certainty);
+  wire(rt, leadership_.certainty, ledger_, &Ledger::on_certainty);
+  wire(rt, leadership_.certainty, provisioner_, &Provisioner::on_certainty);
+
+  wire(rt, peer_.news, leadership_, &Leadership::on_peer);
+  wire(rt, peer_.news, frontdesk_, &Frontdesk::on_peer);
+  wire(rt, peer_.withdrawn, ledger_, &Ledger::on_withdrawn);
+
+  wire(rt, frontdesk_.withdrawn, peer_, &Peer::on_withdrawn);
+  wire(rt, frontdesk_.withdrawn, ledger_, &Ledger::on_withdrawn);
+
+  wire(rt, fleet_.reported, ledger_, &Ledger::on_report);
+  wire(rt, fleet_.quiet, ledger_, &Ledger::on_quiet);
+  wire(rt, fleet_.quiet, provisioner_, &Provisioner::on_quiet);
+  wire(rt, fleet_.hearing, leadership_, &Leadership::on_hearing);
+  wire(rt, fleet_.hearing, peer_, &Peer::on_hearing);
+  wire(rt, fleet_.deposed, leadership_, &Leadership::on_deposed);
+
+  wire(rt, ledger_.workload, provisioner_, &Provisioner::on_workload);
+  wire(rt, ledger_.direct, fleet_, &Fleet::on_direct);
+  wire(rt, ledger_.deposed, leadership_, &Leadership::on_deposed);
+  wire(rt, ledger_.suspect, provisioner_, &Provisioner::on_suspect);
+
+  wire(rt, provisioner_.catalog_seen, frontdesk_, &Frontdesk::on_catalog);
+  wire(rt, provisioner_.catalog_seen, ledger_, &Ledger::on_catalog);
+  wire(rt, provisioner_.condemned, ledger_, &Ledger::on_condemned);
+  wire(rt, provisioner_.gone, ledger_, &Ledger::on_gone);
+  wire(rt, provisioner_.gone, fleet_, &Fleet::on_gone);
+}
+
+void Controller::start() {
+  leadership_.start();
+  peer_.start();
+  fleet_.start();
+  ledger_.start();
+  provisioner_.start();
+}
+
+void Controller::serve_client(const Request& request, const Answer& answer) {
+  if (request.target == "/hello") {
+    fleet_.hello(request, answer);
+  } else {
+    frontdesk_.serve(request, answer);
+  }
+}
+
+}  // namespace wrenusher
--- /dev/null
+++ b/src/fleet.cpp
@@ -0,0 +1,134 @@
+#include "wrenusher/fleet.hpp"
+
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+
+namespace wrenusher {
+
+namespace {
+constexpr Micros kTick = millis(250);
+constexpr std::size_t kMostGone = 2000;
+}  // namespace
+
+Fleet::Fleet(Runtime& rt, const Settings& settings) : rt_(rt), settings_(settings) {}
+
+void Fleet::start() { tick(); }
+
+Micros Fleet::quiet_after() const {
+  const Micros reports{
+      static_cast<std::int64_t>(static_cast<double>(settings_.report.count()) * settings_.tunables.silent_reports)};
+  return std::max(from_seconds(4), std::min(reports, settings_.lease));
+}
+
+void Fleet::on_term(const TermChanged& t) {
+  const bool begins = t.leading && !term_.leading;
+  term_ = t;
+  if (begins) {
+    led_since_ = rt_.now();
+    hosts_.clear();
+  }
+}
+
+Response Fleet::elsewhere() const {
+  if (term_.leader.empty() || term_.leader == settings_.node) return {421, {}, 0};
+  return {421, encode(Value::Map{{"upstream", term_.leader}}), 0};
+}
+
+void Fleet::hello(const Request& request, const Answer& answer) {
+  if (request.method != "POST") {
+    answer({405, {}, 0});
+    return;
+  }
+  const auto v = decode(request.body);
+  auto report = v ? read_report(*v) : std::nullopt;
+  if (!report) {
+    answer({400, {}, 0});
+    return;
+  }
+  heard_any_ = rt_.now();
+  ever_heard_ = true;
+  if (report->epoch > term_.epoch) {
+    // A 200 with our lower epoch would be dropped by the worker and let its lease run out.
+    deposed(Deposed{report->epoch});
+    answer({421, {}, 0});
+    return;
+  }
+  if (!term_.leading) {
+    answer(elsewhere());
+    return;
+  }
+  take(std::move(*report), true, [this, answer, epoch = term_.epoch](std::vector<Order> orders) {
+    if (!term_.leading || term_.epoch != epoch) {
+      answer(elsewhere());
+      return;
+    }
+    // Without certainty another leader may already have decided otherwise; the answer still keeps the lease.
+    if (rt_.now() >= certain_until_) {
+      std::erase_if(orders, [](const Order& o) { return o.verb == Order::Verb::run; });
+    }
+    answer({200, encode(Value::Map{{"epoch", epoch}, {"orders", write_orders(orders)}}), 0});
+  });
+}
+
+void Fleet::take(WorkerReport report, bool settled, const std::function<void(std::vector<Order>)>& reply) {
+  if (gone_.contains(report.host)) {
+    reply({});
+    return;
+  }
+  Host& h = hosts_[report.host];
+  if (std::pair(report.tenure, report.serial) <= std::pair(h.tenure, h.serial)) {
+    reply({});  // older than what is known
+    return;
+  }
+  if (h.quiet) spdlog::info("machine {} is heard again", report.host);
+  h = {report.addr, report.tenure, report.serial, rt_.now(), false};
+  const bool current = report.epoch == term_.epoch;
+  reported(HostReported{std::make_shared<const WorkerReport>(std::move(report)), current, settled, reply});
+}
+
+void Fleet::on_direct(const DirectOrders& d) {
+  const auto it = hosts_.find(d.host);
+  if (!term_.leading || it == hosts_.end()) return;
+  std::vector<Order> orders = d.orders;
+  std::erase_if(orders, [](const Order& o) { return o.verb == Order::Verb::run; });
+  const std::string body = encode(
+      Value::Map{{"epoch", term_.epoch}, {"tenure", it->second.tenure}, {"orders", write_orders(orders)}});
+  rt_.fetch(it->second.addr, {"POST", "/orders", body}, from_seconds(2), [this, epoch = term_.epoch](const Outcome& o) {
+    if (!term_.leading || term_.epoch != epoch || !o.answered || o.response.status != 200) return;
+    const auto v = decode(o.response.body);
+    if (auto report = v ? read_report(*v) : std::nullopt; report && report->epoch == epoch) {
+      take(std::move(*report), false, [](const std::vector<Order>&) {});
+    }
+  });
+}
+
+void Fleet::on_gone(const HostGone& g) {
+  hosts_.erase(g.host);
+  if (!gone_.insert(g.host).second) return;
+  gone_order_.push_back(g.host);
+  if (gone_order_.size() > kMostGone) {
+    gone_.erase(gone_order_.front());
+    gone_order_.pop_front();
+  }
+}
+
+void Fleet::tick() {
+  const Instant now = rt_.now();
+  const Micros limit = quiet_after();
+  const bool hears = ever_heard_ && now - heard_any_ < limit;
+  const bool deaf = term_.leading && !hears && now - led_since_ > limit;
+  hearing(Hearing{deaf, hears, !hosts_.empty()});
+  // While nobody is heard at all the fault is more likely here than at every machine at once.
+  if (term_.leading && !deaf) {
+    for (auto& [name, h] : hosts_) {
+      if (h.quiet || now - h.heard <= limit) continue;
+      h.quiet = true;
+      spdlog::info("machine {} is silent for {:.1f} s", name, to_seconds(now - h.heard));
+      quiet(HostQuiet{name});
+    }
+  }
+  rt_.after(kTick, [this] { tick(); });
+}
+
+}  // namespace wrenusher
--- /dev/null
+++ b/src/frontdesk.cpp
@@ -0,0 +1,252 @@
+#include "wrenusher/frontdesk.hpp"
+
+#include <spdlog/spdlog.h>
+
+#include "wrenusher/records.hpp"
+
+namespace wrenusher {
+
+namespace {
+
+constexpr std::size_t kMostFinals = 4000;
+constexpr Micros kFreshPeer = from_seconds(2);
+constexpr int kWithdrawTries = 4;
+/// Rows read for one poll: the job's root and blocks enough for a fair count on display.
+constexpr int kPollRows = 20;
+
+Response later(int seconds = 1) { return {503, {}, seconds}; }
+
+Response status_response(int code, const std::string& ref, const std::string& status) {
+  return {code, encode(Value::Map{{"ref", ref}, {"status", status}}), 0};
+}
+
+}  // namespace
+
+Frontdesk::Frontdesk(Runtime& rt, const Settings& settings, Store& store)
+    : rt_(rt), settings_(settings), store_(store) {}
+
+void Frontdesk::on_peer(const PeerNews& news) { peers_[news.node] = {rt_.now(), news.store}; }
+
+bool Frontdesk::ready() const {
+  if (store_.reachable()) return true;
+  // In an outage that all share, leaving the balancer would only lengthen its pause.
+  for (const auto& [node, seen] : peers_) {
+    if (seen.second && rt_.now() - seen.first < kFreshPeer) return false;
+  }
+  return true;
+}
+
+void Frontdesk::serve(const Request& request, const Answer& answer) {
+  const std::string path = request.target.substr(0, request.target.find('?'));
+  if (path == "/ready") {
+    if (request.method != "GET") {
+      answer({405, {}, 0});
+    } else {
+      answer(ready() ? Response{200, {}, 0} : later());
+    }
+    return;
+  }
+  static const std::string base = "/submissions";
+  if (path == base) {
+    if (request.method != "POST") {
+      answer({405, {}, 0});
+    } else {
+      submit(request, answer);
+    }
+    return;
+  }
+  if (!path.starts_with(base + "/")) {
+    answer({404, {}, 0});
+    return;
+  }
+  std::string ref = path.substr(base.size() + 1);
+  bool cancel = false;
+  if (const auto slash = ref.find('/'); slash != std::string::npos) {
+    if (ref.substr(slash) != "/withdraw") {
+      answer({404, {}, 0});
+      return;
+    }
+    cancel = true;
+    ref.resize(slash);
+  }
+  if (!valid_ref(ref)) {
+    answer({404, {}, 0});
+  } else if (request.method != (cancel ? "POST" : "GET")) {
+    answer({405, {}, 0});
+  } else if (cancel) {
+    withdraw(ref, kWithdrawTries, answer);
+  } else {
+    poll(ref, answer);
+  }
+}
+
+void Frontdesk::remember(const std::string& ref, const State& s) {
+  if (!finals_.emplace(ref, s).second) return;
+  finals_order_.push_back(ref);
+  if (finals_order_.size() > kMostFinals) {
+    finals_.erase(finals_order_.front());
+    finals_order_.pop_front();
+  }
+}
+
+void Frontdesk::lookup(const std::string& ref, std::function<void(Found)> done) {
+  if (const auto it = finals_.find(ref); it != finals_.end()) {
+    done(Found{false, it->second});
+    return;
+  }
+  // First the live record, then the final one: a job moves only from the first to the second, in one
+  // transaction, so a job that exists is seen in one of them.
+  store_.list(records::job_key(ref), {}, kPollRows, Store::Urgent::user, [this, ref, done](Read live) {
+    if (live.result != Read::Result::ok) {
+      done({});
+      return;
+    }
+    State s;
+    bool found = false;
+    for (const Row& row : live.rows) {
+      if (row.key == records::job_key(ref)) {
+        found = true;
+        s.status = row.value["wd"].boolean().value_or(false) ? "withdrawn" : "pending";
+      } else if (records::is_block_of(row.key, ref)) {
+        const auto counts = records::block_counts(row.value);
+        s.done += counts.done;
+        s.running += counts.claimed;
+      }
+    }
+    if (found) {
+      if (s.status == "pending" && s.running > 0) s.status = "running";
+      done(Found{false, s});
+      return;
+    }
+    store_.get(records::end_key(ref), Store::Urgent::user, [this, ref, done](Read end) {
+      if (end.result != Read::Result::ok) {
+        done({});
+        return;
+      }
+      if (end.rows.empty()) {
+        done(Found{false, std::nullopt});
+        return;
+      }
+      State fin;
+      fin.status = end.rows[0].value["s"].text() != nullptr ? *end.rows[0].value["s"].text() : "done";
+      fin.done = end.rows[0].value["n"].count().value_or(0);
+      remember(ref, fin);
+      done(Found{false, fin});
+    });
+  });
+}
+
+void Frontdesk::known_or(const std::string& ref, Response otherwise, const Answer& answer) {
+  lookup(ref, [ref, otherwise = std::move(otherwise), answer](const Found& f) {
+    if (f.failed) {
+      answer(later());
+    } else if (f.state) {
+      answer(status_response(200, ref, f.state->status));
+    } else {
+      answer(otherwise);
+    }
+  });
+}
+
+void Frontdesk::submit(const Request& request, const Answer& answer) {
+  const auto v = decode(request.body);
+  if (!v || v->map() == nullptr) {
+    answer({400, {}, 0});
+    return;
+  }
+  const std::string* ref = (*v)["ref"].text();
+  if (ref == nullptr || !valid_ref(*ref)) {
+    answer({400, {}, 0});
+    return;
+  }
+  const auto spec = read_spec(*v);
+  if (!spec) {
+    known_or(*ref, {400, {}, 0}, answer);
+    return;
+  }
+  const Team* team = settings_.team(spec->owner);
+  if (!catalog_ && team != nullptr) {
+    known_or(*ref, later(2), answer);
+    return;
+  }
+  if (const std::string why = never_runs(*spec, catalog_ ? *catalog_ : Catalog{}, team); !why.empty()) {
+    spdlog::info("submission {} can never run: {}", *ref, why);
+    known_or(*ref, {422, {}, 0}, answer);
+    return;
+  }
+  const Value record = records::new_job(*spec, rt_.wall(), records::block_size(settings_.value_kb));
+  if (record.json_size() > static_cast<std::size_t>(settings_.value_kb * 1024)) {
+    known_or(*ref, {400, {}, 0}, answer);
+    return;
+  }
+  store_.commit({{records::job_key(*ref), 0}, {records::end_key(*ref), 0}}, {{records::job_key(*ref), record, 0}},
+                Store::Urgent::user, [this, id = *ref, answer](const Commit& c) {
+                  switch (c.result) {
+                    case Commit::Result::committed:
+                      answer(status_response(201, id, "pending"));
+                      break;
+                    case Commit::Result::conflict:
+                    case Commit::Result::unknown:
+                      known_or(id, later(), answer);
+                      break;
+                    case Commit::Result::refused:
+                      answer(later());
+                      break;
+                    case Commit::Result::invalid:
+                      answer({400, {}, 0});
+                      break;
+                  }
+                });
+}
+
+void Frontdesk::poll(const std::string& ref, const Answer& answer) {
+  lookup(ref, [ref, answer](const Found& f) {
+    if (f.failed) {
+      answer(later());
+    } else if (!f.state) {
+      answer({404, {}, 0});
+    } else {
+      answer({200,
+              encode(Value::Map{{"ref", ref},
+                                {"status", f.state->status},
+                                {"done", f.state->done},
+                                {"running", f.state->running}}),
+              0});
+    }
+  });
+}
+
+void Frontdesk::withdraw(const std::string& ref, int tries, const Answer& answer) {
+  if (tries == 0) {
+    answer(later());
+    return;
+  }
+  store_.get(records::job_key(ref), Store::Urgent::user, [this, ref, tries, answer](Read r) {
+    if (r.result != Read::Result::ok) {
+      answer(later());
+      return;
+    }
+    if (r.rows.empty()) {
+      known_or(ref, {404, {}, 0}, answer);
+      return;
+    }
+    if (r.rows[0].value["wd"].boolean().value_or(false)) {
+      withdrawn(JobWithdrawn{ref});
+      answer(status_response(200, ref, "withdrawn"));
+      return;
+    }
+    store_.commit({{r.rows[0].key, r.rows[0].stamp}}, {{r.rows[0].key, records::withdrawn(r.rows[0].value), 0}},
+                  Store::Urgent::user, [this, ref, tries, answer](const Commit& c) {
+                    if (c.result == Commit::Result::committed) {
+                      withdrawn(JobWithdrawn{ref});
+                      answer(status_response(200, ref, "withdrawn"));
+                    } else if (c.result == Commit::Result::refused) {
+                      answer(later());
+                    } else {
+                      withdraw(ref, tries - 1, answer);
+                    }
+                  });
+  });
+}
+
+}  // namespace wrenusher
--- /dev/null
+++ b/src/leadership.cpp
@@ -0,0 +1,193 @@
+#include "wrenusher/leadership.hpp"
+
+#include <spdlog/spdlog.h>
+
+namespace wrenusher {
+
+namespace {
+
+constexpr Micros kTick = millis(200);
+constexpr Micros kLook = millis(600);
+/// What a peer said holds for this long.
+constexpr Micros kFresh = from_seconds(1.6);
+/// Steady clocks drift apart by at most 0.05%; twice that, for both sides, and a margin for our own delays.
+constexpr double kDrift = 0.001;
+constexpr Micros kMargin = millis(150);
+/// Pause after giving the lead away because no worker was heard.
+constexpr Micros kAbstain = from_seconds(8);
+
+}  // namespace
+
+Leadership::Leadership(Runtime& rt, const Settings& settings, Store& store)
+    : rt_(rt), settings_(settings), store_(store) {}
+
+void Leadership::start() { tick(); }
+
+bool Leadership::fresh(const PeerState& p) const { return rt_.now() - p.at < kFresh; }
+
+void Leadership::note_epoch(std::uint64_t epoch, const std::string& leader) {
+  if (leading_ || epoch < epoch_ || (epoch == epoch_ && leader == leader_)) return;
+  epoch_ = epoch;
+  leader_ = leader;
+  changed(TermChanged{false, epoch_, 0, leader_});
+}
+
+void Leadership::on_peer(const PeerNews& news) {
+  peers_[news.node] = {news, rt_.now()};
+  if (news.epoch > epoch_) {
+    if (leading_) stand_down("a peer knows a higher epoch", Micros{0});
+    note_epoch(news.epoch, news.leader);
+  } else if (!news.leader.empty() && leader_.empty()) {
+    note_epoch(news.epoch, news.leader);
+  }
+}
+
+void Leadership::on_deposed(const Deposed& d) {
+  if (leading_ && (d.epoch > epoch_ || d.epoch == 0)) stand_down("another term has begun", Micros{0});
+  if (d.epoch > epoch_) note_epoch(d.epoch, {});
+}
+
+void Leadership::on_hearing(const Hearing& h) {
+  if (h.deaf && !deaf_) deaf_since_ = rt_.now();
+  deaf_ = h.deaf;
+  had_workers_ = h.had_workers;
+}
+
+void Leadership::prove(Instant sent) {
+  const auto life = settings_.tunables.hold_life;
+  const Instant until = sent + life - Micros{static_cast<std::int64_t>(static_cast<double>(life.count()) * kDrift)} - kMargin;
+  if (until > certain_until_) {
+    certain_until_ = until;
+    certainty(Certainty{certain_until_});
+  }
+}
+
+void Leadership::tick() {
+  const Instant now = rt_.now();
+  if (leading_) {
+    if (now >= next_extend_) extend();
+    bool peer_with_store = false;
+    bool peer_hears = false;
+    bool any_peer = false;
+    for (const auto& [name, p] : peers_) {
+      if (!fresh(p)) continue;
+      any_peer = true;
+      peer_with_store = peer_with_store || p.news.store;
+      peer_hears = peer_hears || p.news.hears_workers;
+    }
+    if (now > certain_until_ && peer_with_store) {
+      stand_down("a peer has the state service and this node has not", Micros{0});
+    } else if (deaf_ && !settings_.peers.empty() &&
+               (peer_hears || (!any_peer && had_workers_ && now - deaf_since_ > from_seconds(2)))) {
+      // Workers cannot reach this node, or it is cut off from all but the state service: as long as it holds
+      // the lead nobody else can serve them.
+      store_.drop(tenancy_);
+      stand_down("no worker is heard here", kAbstain);
+    }
+  } else if (!busy_ && now >= next_look_) {
+    look();
+  }
+  rt_.after(kTick, [this] { tick(); });
+}
+
+void Leadership::look() {
+  next_look_ = rt_.now() + kLook + rt_.jitter(millis(100));
+  busy_ = true;
+  store_.get("leader", Store::Urgent::hold, [this](Read r) {
+    busy_ = false;
+    if (leading_ || r.result != Read::Result::ok) return;
+    if (r.rows.empty()) {
+      if (rt_.now() >= abstain_until_) campaign(0);
+      return;
+    }
+    const Value& v = r.rows[0].value;
+    const std::string node = v["node"].text() != nullptr ? *v["node"].text() : "";
+    if (node == settings_.node) {
+      // An earlier life of this node still holds the lead; it cannot act any more, so there is nothing to
+      // wait for. Not after giving the lead away: then the hold's end is on its way.
+      if (rt_.now() >= abstain_until_) campaign(r.rows[0].stamp);
+      return;
+    }
+    note_epoch(v["epoch"].count().value_or(0), node);
+  });
+}
+
+void Leadership::campaign(std::uint64_t stamp) {
+  busy_ = true;
+  const Instant sent = rt_.now();
+  store_.hold(settings_.tunables.hold_life, [this, stamp, sent](HoldReply h) {
+    if (h.result != HoldReply::Result::ok) {
+      busy_ = false;
+      return;
+    }
+    store_.get("epoch", Store::Urgent::hold, [this, stamp, sent, tenancy = h.tenancy](Read r) {
+      if (r.result != Read::Result::ok) {
+        abandon(tenancy);
+        return;
+      }
+      const std::uint64_t last = r.rows.empty() ? 0 : r.rows[0].value["epoch"].count().value_or(0);
+      const std::uint64_t epoch_stamp = r.rows.empty() ? 0 : r.rows[0].stamp;
+      const std::uint64_t next = std::max(last, epoch_) + 1;
+      store_.commit({{"leader", stamp}, {"epoch", epoch_stamp}},
+                    {{"leader", Value::Map{{"node", settings_.node}, {"epoch", next}}, tenancy},
+                     {"epoch", Value::Map{{"epoch", next}}, 0}},
+                    Store::Urgent::hold, [this, sent, tenancy, next](Commit c) {
+                      if (c.result != Commit::Result::committed) {
+                        abandon(tenancy);
+                        return;
+                      }
+                      busy_ = false;
+                      win(tenancy, next, c.revision, sent);
+                    });
+    });
+  });
+}
+
+void Leadership::abandon(std::uint64_t tenancy) {
+  // Also after an unknown outcome: should the write be applied late, the dropped hold takes it away again.
+  store_.drop(tenancy);
+  busy_ = false;
+  next_look_ = rt_.now() + millis(100) + rt_.jitter(millis(300));
+}
+
+void Leadership::win(std::uint64_t tenancy, std::uint64_t epoch, std::uint64_t stamp, Instant sent) {
+  leading_ = true;
+  tenancy_ = tenancy;
+  epoch_ = epoch;
+  leader_ = settings_.node;
+  deaf_ = false;
+  certain_until_ = {};
+  spdlog::info("term {} begins: this node leads", epoch);
+  store_.leading(true);
+  changed(TermChanged{true, epoch_, stamp, leader_});
+  prove(sent);
+  next_extend_ = rt_.now() + settings_.tunables.hold_life / 4;
+}
+
+void Leadership::extend() {
+  const Instant sent = rt_.now();
+  next_extend_ = sent + settings_.tunables.hold_life / 4;
+  store_.extend(tenancy_, [this, sent, tenancy = tenancy_](HoldReply h) {
+    if (!leading_ || tenancy != tenancy_) return;
+    if (h.result == HoldReply::Result::gone) {
+      stand_down("the hold has ended", Micros{0});
+    } else if (h.result == HoldReply::Result::ok) {
+      prove(sent);
+    }
+  });
+}
+
+void Leadership::stand_down(const char* why, Micros abstain) {
+  spdlog::warn("term {} ends here: {}", epoch_, why);
+  leading_ = false;
+  tenancy_ = 0;
+  leader_.clear();
+  certain_until_ = {};
+  abstain_until_ = rt_.now() + abstain;
+  next_look_ = rt_.now() + millis(200);
+  store_.leading(false);
+  certainty(Certainty{});
+  changed(TermChanged{false, epoch_, 0, {}});
+}
+
+}  // namespace wrenusher
--- /dev/null
+++ b/src/messages.cpp
@@ -0,0 +1,282 @@
+#include "wrenusher/messages.hpp"
+
+#include <algorithm>
+#include <charconv>
+
+#include "wrenusher/settings.hpp"
+
+namespace wrenusher {
+
+namespace {
+
+constexpr double kMostAmount = 1e9;
+constexpr double kMostSeconds = 1e9;
+
+std::optional<double> amount(const Value& v, double most) {
+  const auto n = v.number();
+  if (!n || *n < 0 || *n > most) return std::nullopt;
+  return n;
+}
+
+/// A name as used for queues, teams, bundles, types and zones.
+const std::string* name(const Value& v) {
+  const std::string* s = v.text();
+  return s != nullptr && !s->empty() && s->size() <= 200 ? s : nullptr;
+}
+
+std::optional<Shape> read_shape(const std::string& s) {
+  if (s == "sweep") return Shape::sweep;
+  if (s == "gang") return Shape::gang;
+  if (s == "daemon") return Shape::daemon;
+  return std::nullopt;
+}
+
+std::optional<Urgency> read_urgency(const std::string& s) {
+  if (s == "prod") return Urgency::prod;
+  if (s == "high") return Urgency::high;
+  if (s == "normal") return Urgency::normal;
+  if (s == "low") return Urgency::low;
+  return std::nullopt;
+}
+
+constexpr const char* kShapes[] = {"sweep", "gang", "daemon"};
+constexpr const char* kUrgencies[] = {"prod", "high", "normal", "low"};
+
+std::optional<UnitStatus> read_status(const std::string& s) {
+  if (s == "pulling") return UnitStatus::pulling;
+  if (s == "gathering") return UnitStatus::gathering;
+  if (s == "running") return UnitStatus::running;
+  if (s == "saving") return UnitStatus::saving;
+  if (s == "ended") return UnitStatus::ended;
+  return std::nullopt;
+}
+
+/// "req-000412/3" into job and task.
+bool split_unit(const std::string& unit, std::string& ref, std::uint32_t& task) {
+  const auto slash = unit.find('/');
+  if (slash == std::string::npos) return false;
+  ref = unit.substr(0, slash);
+  const char* end = unit.data() + unit.size();
+  const auto [at, err] = std::from_chars(unit.data() + slash + 1, end, task);
+  return err == std::errc{} && at == end && !ref.empty();
+}
+
+}  // namespace
+
+Needs& Needs::operator+=(const Needs& o) {
+  cores += o.cores;
+  cards += o.cards;
+  memory += o.memory;
+  return *this;
+}
+
+Needs& Needs::operator-=(const Needs& o) {
+  cores -= o.cores;
+  cards -= o.cards;
+  memory -= o.memory;
+  return *this;
+}
+
+bool JobSpec::allows(const std::string& flavor, const std::string& zone, bool spot) const {
+  if (spot && !standby) return false;
+  if (!site.empty() && site != zone) return false;
+  return flavors.empty() || std::find(flavors.begin(), flavors.end(), flavor) != flavors.end();
+}
+
+bool valid_ref(std::string_view ref) {
+  if (!ref.starts_with("req-") || ref.size() < 5 || ref.size() > 64) return false;
+  return std::all_of(ref.begin() + 4, ref.end(), [](char c) { return c >= '0' && c <= '9'; });
+}
+
+std::optional<JobSpec> read_spec(const Value& v) {
+  JobSpec s;
+  const std::string* ref = v["ref"].text();
+  const std::string* queue = name(v["queue"]);
+  const std::string* owner = name(v["owner"]);
+  const std::string* shape = v["shape"].text();
+  const std::string* urgency = v["urgency"].text();
+  const std::string* bundle = name(v["bundle"]);
+  const auto units = v["units"].count();
+  const auto cores = amount(v["cores"], kMostAmount);
+  const auto cards = amount(v["cards"], kMostAmount);
+  const auto memory = amount(v["memory_gb"], kMostAmount);
+  const auto image = amount(v["image_gb"], kMostAmount);
+  const auto expected = amount(v["expected_s"], kMostSeconds);
+  const auto every = amount(v["snapshot_every_s"], kMostSeconds);
+  const auto snapshot = amount(v["snapshot_s"], kMostSeconds);
+  const auto same_place = v["same_place"].boolean();
+  const auto scatter = v["scatter"].boolean();
+  const auto standby = v["standby"].boolean();
+  if (!ref || !valid_ref(*ref) || !queue || !owner || !shape || !urgency || !bundle || !units || !cores ||
+      !cards || !memory || !image || !expected || !every || !snapshot || !same_place || !scatter || !standby) {
+    return std::nullopt;
+  }
+  const auto sh = read_shape(*shape);
+  const auto ur = read_urgency(*urgency);
+  if (!sh || !ur || *units < 1 || *units > kMaxUnits) return std::nullopt;
+  if (const Value& f = v["flavors"]; !f.is_null()) {
+    if (f.list() == nullptr || f.list()->empty() || f.list()->size() > 1000) return std::nullopt;
+    for (const Value& item : *f.list()) {
+      const std::string* flavor = name(item);
+      if (flavor == nullptr) return std::nullopt;
+      s.flavors.push_back(*flavor);
+    }
+  }
+  if (const Value& site = v["site"]; !site.is_null()) {
+    if (name(site) == nullptr) return std::nullopt;
+    s.site = *site.text();
+  }
+  if (const Value& due = v["due_s"]; !due.is_null()) {
+    const auto d = amount(due, kMostSeconds);
+    if (!d) return std::nullopt;
+    s.due = from_seconds(*d);
+  }
+  s.ref = *ref;
+  s.queue = *queue;
+  s.owner = *owner;
+  s.shape = *sh;
+  s.urgency = *ur;
+  s.units = static_cast<std::uint32_t>(*units);
+  s.needs = {to_amount(*cores), to_amount(*cards), to_amount(*memory)};
+  s.bundle = *bundle;
+  s.image_gb = *image;
+  s.same_place = *same_place;
+  s.scatter = *scatter;
+  s.standby = *standby;
+  s.expected = from_seconds(*expected);
+  s.snapshot_every = from_seconds(*every);
+  s.snapshot = from_seconds(*snapshot);
+  return s;
+}
+
+Value write_spec(const JobSpec& s) {
+  Value::List flavors;
+  for (const std::string& f : s.flavors) flavors.emplace_back(f);
+  Value::Map m{{"ref", s.ref},
+               {"queue", s.queue},
+               {"owner", s.owner},
+               {"shape", kShapes[static_cast<int>(s.shape)]},
+               {"urgency", kUrgencies[static_cast<int>(s.urgency)]},
+               {"units", std::uint64_t{s.units}},
+               {"cores", from_amount(s.needs.cores)},
+               {"cards", from_amount(s.needs.cards)},
+               {"memory_gb", from_amount(s.needs.memory)},
+               {"bundle", s.bundle},
+               {"image_gb", s.image_gb},
+               {"same_place", s.same_place},
+               {"scatter", s.scatter},
+               {"standby", s.standby},
+               {"expected_s", to_seconds(s.expected)},
+               {"snapshot_every_s", to_seconds(s.snapshot_every)},
+               {"snapshot_s", to_seconds(s.snapshot)}};
+  if (!flavors.empty()) m.emplace_back("flavors", std::move(flavors));
+  if (!s.site.empty()) m.emplace_back("site", s.site);
+  if (s.due) m.emplace_back("due_s", to_seconds(*s.due));
+  return m;
+}
+
+std::optional<WorkerReport> read_report(const Value& v) {
+  WorkerReport r;
+  const std::string* host = name(v["host"]);
+  const std::string* addr = v["addr"].text();
+  const std::string* flavor = v["flavor"].text();
+  const std::string* site = v["site"].text();
+  const auto standby = v["standby"].boolean();
+  const auto tenure = v["tenure"].count();
+  const auto serial = v["serial"].count();
+  const auto epoch = v["epoch"].count();
+  const Value::List* units = v["units"].list();
+  if (!host || !addr || !flavor || !site || !standby || !tenure || !serial || !epoch || !units) return std::nullopt;
+  r = {*host, *addr, *flavor, *site, *standby, *tenure, *serial, *epoch, std::nullopt, {}};
+  if (const auto w = v["warning_s"].number()) r.warning = from_seconds(std::clamp(*w, 0.0, kMostSeconds));
+  r.units.reserve(units->size());
+  for (const Value& u : *units) {
+    UnitReport unit;
+    const std::string* id = u["unit"].text();
+    const auto attempt = u["try"].count();
+    const std::string* status = u["status"].text();
+    if (!id || !attempt || !status || !split_unit(*id, unit.ref, unit.task)) return std::nullopt;
+    const auto st = read_status(*status);
+    if (!st) return std::nullopt;
+    unit.status = *st;
+    unit.attempt = *attempt;
+    if (const std::string* cause = u["cause"].text()) unit.cause = *cause;
+    unit.kept = u["kept"].boolean().value_or(false);
+    r.units.push_back(std::move(unit));
+  }
+  return r;
+}
+
+std::string unit_name(const std::string& ref, std::uint32_t task) { return ref + "/" + std::to_string(task); }
+
+Value write_orders(const std::vector<Order>& orders) {
+  static constexpr const char* verbs[] = {"run", "halt", "reap"};
+  Value::List out;
+  out.reserve(orders.size());
+  for (const Order& o : orders) {
+    Value::Map m{{"verb", verbs[static_cast<int>(o.verb)]}, {"unit", unit_name(o.ref, o.task)}, {"try", o.attempt}};
+    if (o.verb == Order::Verb::halt) m.emplace_back("leeway_s", to_seconds(o.leeway));
+    out.emplace_back(std::move(m));
+  }
+  return out;
+}
+
+std::optional<Catalog> read_catalog(const Value& v) {
+  const Value::List* list = v["flavors"].list();
+  if (list == nullptr) return std::nullopt;
+  Catalog out;
+  for (const Value& f : *list) {
+    Flavor flavor;
+    const std::string* n = name(f["name"]);
+    const auto cores = amount(f["cores"], kMostAmount);
+    const auto cards = amount(f["cards"], kMostAmount);
+    const auto memory = amount(f["memory_gb"], kMostAmount);
+    const Value::List* sites = f["sites"].list();
+    if (!n || !cores || !memory || !sites) return std::nullopt;
+    flavor.name = *n;
+    flavor.room = {to_amount(*cores), to_amount(cards.value_or(0)), to_amount(*memory)};
+    flavor.cache_gb = f["cache_gb"].number().value_or(0);
+    flavor.pull_gb_per_s = std::max(1e-3, f["pull_gb_per_s"].number().value_or(0));
+    flavor.rate = f["rate"].number().value_or(0);
+    flavor.low_price = f["low_price"].number().value_or(flavor.rate);
+    flavor.boot = from_seconds(std::clamp(f["boot_s"].number().value_or(0), 0.0, kMostSeconds));
+    for (const Value& s : *sites) {
+      if (const std::string* z = name(s)) flavor.sites.push_back(*z);
+    }
+    out.emplace(flavor.name, std::move(flavor));
+  }
+  return out;
+}
+
+std::optional<Rental> read_rental(const Value& v) {
+  const std::string* ref = name(v["ref"]);
+  const std::string* flavor = v["flavor"].text();
+  const std::string* site = v["site"].text();
+  const std::string* status = v["status"].text();
+  if (!ref || !flavor || !site || !status) return std::nullopt;
+  Rental r;
+  r.ref = *ref;
+  r.flavor = *flavor;
+  r.site = *site;
+  r.status = *status;
+  if (const std::string* a = v["addr"].text()) r.addr = *a;
+  r.standby = v["standby"].boolean().value_or(false);
+  r.held = from_seconds(std::clamp(v["held_s"].number().value_or(0), 0.0, kMostSeconds));
+  return r;
+}
+
+std::string never_runs(const JobSpec& spec, const Catalog& catalog, const Team* team) {
+  if (team == nullptr) return "the team is not known";
+  const Needs all = spec.shape == Shape::sweep ? spec.needs : spec.needs * static_cast<std::int64_t>(spec.units);
+  if (team->cores_max > 0 && all.cores > to_amount(team->cores_max)) return "needs more cores than the team may use";
+  if (team->cards_max > 0 && all.cards > to_amount(team->cards_max)) return "needs more cards than the team may use";
+  for (const auto& [name, flavor] : catalog) {
+    if (!spec.needs.fits(flavor.room)) continue;
+    for (const std::string& site : flavor.sites) {
+      if (spec.allows(name, site, false)) return {};
+    }
+  }
+  return "a task fits no machine type that the job allows";
+}
+
+}  // namespace wrenusher
--- /dev/null
+++ b/src/net.cpp
@@ -0,0 +1,552 @@
+#include "wrenusher/net.hpp"
+
+#include <http_parser.h>
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+#include <array>
+#include <cstring>
+
+namespace wrenusher {
+
+namespace {
+
+/// Outgoing connections per destination; what is over waits in the pool's queue.
+constexpr int kPoolSize = 12;
+/// A user's or worker's connection is closed when nothing came for this long.
+constexpr Micros kInboundIdle = from_seconds(45);
+/// A request that began must be whole within this.
+constexpr Micros kInboundStall = from_seconds(10);
+/// The other side of a connection that had its last answer has this long to close it.
+constexpr Micros kInboundLinger = from_seconds(2);
+/// What must stay free for outgoing connections, and so for workers' orders, peers, store and cloud.
+constexpr int kReservedSockets = 32;
+
+// One thread, one loop: bytes are consumed within the read callback, so one buffer serves all.
+std::array<char, 64 * 1024> read_buffer;
+
+void take_buffer(uv_handle_t*, std::size_t, uv_buf_t* buf) {
+  *buf = uv_buf_init(read_buffer.data(), read_buffer.size());
+}
+
+sockaddr_in address(const Endpoint& at) {
+  sockaddr_in out{};
+  const auto colon = at.rfind(':');
+  if (colon == std::string::npos ||
+      uv_ip4_addr(at.substr(0, colon).c_str(), std::atoi(at.c_str() + colon + 1), &out) != 0) {
+    out.sin_family = 0;
+  }
+  return out;
+}
+
+const char* reason(int status) {
+  switch (status) {
+    case 200: return "OK";
+    case 201: return "Created";
+    case 400: return "Bad Request";
+    case 404: return "Not Found";
+    case 405: return "Method Not Allowed";
+    case 421: return "Misdirected Request";
+    case 422: return "Unprocessable Content";
+    case 429: return "Too Many Requests";
+    case 503: return "Service Unavailable";
+    default: return "Status";
+  }
+}
+
+std::string serialize(const Response& r, bool close) {
+  std::string out = "HTTP/1.1 " + std::to_string(r.status) + " " + reason(r.status) + "\r\n";
+  if (!r.body.empty()) out += "Content-Type: application/cbor\r\n";
+  out += "Content-Length: " + std::to_string(r.body.size()) + "\r\n";
+  if (r.retry_after_s > 0) out += "Retry-After: " + std::to_string(r.retry_after_s) + "\r\n";
+  if (close) out += "Connection: close\r\n";
+  out += "\r\n";
+  out += r.body;
+  return out;
+}
+
+struct WriteJob {
+  uv_write_t req{};
+  std::string bytes;
+};
+
+/// Writes and forgets: a failure shows as the connection's end on its reading side.
+void write_bytes(uv_tcp_t* tcp, std::string bytes) {
+  auto* job = new WriteJob;
+  job->bytes = std::move(bytes);
+  uv_buf_t buf = uv_buf_init(job->bytes.data(), static_cast<unsigned>(job->bytes.size()));
+  // The common case needs no queueing: one system call, nothing kept.
+  const int n = uv_try_write(reinterpret_cast<uv_stream_t*>(tcp), &buf, 1);
+  if (n == static_cast<int>(job->bytes.size())) {
+    delete job;
+    return;
+  }
+  if (n > 0) {
+    buf.base += n;
+    buf.len -= static_cast<std::size_t>(n);
+  }
+  job->req.data = job;
+  if (uv_write(&job->req, reinterpret_cast<uv_stream_t*>(tcp), &buf, 1,
+               [](uv_write_t* req, int) { delete static_cast<WriteJob*>(req->data); }) != 0) {
+    delete job;
+  }
+}
+
+}  // namespace
+
+// ---------------------------------------------------------------- incoming
+
+struct UvRuntime::Listener {
+  UvRuntime* rt = nullptr;
+  uv_tcp_t tcp{};
+  int most = 0;
+  Handler handler;
+  std::list<std::shared_ptr<Inbound>> open;
+};
+
+struct UvRuntime::Inbound : std::enable_shared_from_this<Inbound> {
+  Listener* owner = nullptr;
+  uv_tcp_t tcp{};
+  http_parser parser{};
+  Request request;
+  bool too_large = false;
+  bool answering = false;
+  bool closing = false;
+  bool begun = false;
+  bool finished = false;  ///< the last answer is out; what still comes is read and thrown away
+  bool refusing = false;  ///< over the socket budget: every request gets 503 with a time to return
+  Instant last{};
+  std::list<std::shared_ptr<Inbound>>::iterator place;
+
+  static Inbound& of(http_parser* p) { return *static_cast<Inbound*>(p->data); }
+
+  void close() {
+    if (closing) return;
+    closing = true;
+    uv_close(reinterpret_cast<uv_handle_t*>(&tcp), [](uv_handle_t* h) {
+      auto* self = static_cast<Inbound*>(h->data);
+      --self->owner->rt->open_sockets_;
+      self->owner->open.erase(self->place);  // the last owner unless an answer is still out
+    });
+  }
+
+  void answer(const Response& r, bool keep) {
+    if (closing) return;
+    answering = false;
+    begun = false;
+    last = owner->rt->now();
+    write_bytes(&tcp, serialize(r, !keep));
+    if (!keep) {
+      finish();
+      return;
+    }
+    uv_read_start(reinterpret_cast<uv_stream_t*>(&tcp), take_buffer, on_read);
+  }
+
+  /// No more answers. The rest of what the other side sends is read and dropped until it closes (or the
+  /// sweep does): closing with unread bytes would reset the connection and lose the answer on its way.
+  void finish() {
+    finished = true;
+    auto* req = new uv_shutdown_t;
+    if (uv_shutdown(req, reinterpret_cast<uv_stream_t*>(&tcp), [](uv_shutdown_t* r, int) { delete r; }) != 0) {
+      delete req;
+      close();
+      return;
+    }
+    uv_read_start(reinterpret_cast<uv_stream_t*>(&tcp), take_buffer, on_read);
+  }
+
+  void dispatch() {
+    const bool keep = http_should_keep_alive(&parser) != 0 && !refusing && !too_large;
+    answering = true;
+    // Requests are not pipelined: nothing more is read until this one is answered.
+    uv_read_stop(reinterpret_cast<uv_stream_t*>(&tcp));
+    if (too_large) {
+      answer({400, {}, 0}, false);
+      return;
+    }
+    if (refusing) {
+      answer({503, {}, 3}, false);
+      return;
+    }
+    std::weak_ptr<Inbound> weak = weak_from_this();
+    Request r = std::move(request);
+    request = {};
+    owner->handler(std::move(r), [weak, keep](Response response) {
+      if (auto self = weak.lock(); self && self->answering) self->answer(response, keep);
+    });
+  }
+
+  static void on_read(uv_stream_t* stream, ssize_t n, const uv_buf_t* buf) {
+    auto* self = static_cast<Inbound*>(stream->data);
+    if (n == 0) return;
+    if (n < 0) {
+      self->close();
+      return;
+    }
+    if (self->finished) return;
+    const auto keep_alive = self->shared_from_this();
+    self->last = self->owner->rt->now();
+    self->begun = true;
+    const std::size_t used =
+        http_parser_execute(&self->parser, &settings(), buf->base, static_cast<std::size_t>(n));
+    if (self->closing || self->answering || self->finished) return;
+    if (self->too_large || self->parser.upgrade != 0 || used != static_cast<std::size_t>(n) ||
+        HTTP_PARSER_ERRNO(&self->parser) != HPE_OK) {
+      self->answering = true;
+      uv_read_stop(stream);
+      self->answer({400, {}, 0}, false);
+    }
+  }
+
+  static const http_parser_settings& settings() {
+    static const http_parser_settings s = [] {
+      http_parser_settings x;
+      http_parser_settings_init(&x);
+      x.on_message_begin = [](http_parser* p) {
+        of(p).request = {};
+        of(p).too_large = false;
+        return 0;
+      };
+      x.on_url = [](http_parser* p, const char* at, std::size_t n) {
+        of(p).request.target.append(at, n);
+        return of(p).request.target.size() > 4096 ? 1 : 0;
+      };
+      x.on_headers_complete = [](http_parser* p) {
+        of(p).request.method = http_method_str(static_cast<http_method>(p->method));
+        if (p->content_length != ULLONG_MAX && p->content_length > kMaxBody) {
+          of(p).too_large = true;
+          return 2;  // no body is read: the answer goes out at once
+        }
+        return 0;
+      };
+      x.on_body = [](http_parser* p, const char* at, std::size_t n) {
+        Inbound& in = of(p);
+        if (in.request.body.size() + n > kMaxBody) {
+          in.too_large = true;
+          return 1;
+        }
+        in.request.body.append(at, n);
+        return 0;
+      };
+      x.on_message_complete = [](http_parser* p) {
+        of(p).dispatch();
+        return 0;
+      };
+      return x;
+    }();
+    return s;
+  }
+};
+
+void UvRuntime::listen(const Endpoint& at, int most, Handler handler) {
+  auto l = std::make_unique<Listener>();
+  l->rt = this;
+  l->most = most;
+  l->handler = std::move(handler);
+  uv_tcp_init(&loop_, &l->tcp);
+  l->tcp.data = l.get();
+  const sockaddr_in addr = address(at);
+  int rc = uv_tcp_bind(&l->tcp, reinterpret_cast<const sockaddr*>(&addr), 0);
+  if (rc == 0) {
+    rc = uv_listen(reinterpret_cast<uv_stream_t*>(&l->tcp), 256, [](uv_stream_t* server, int status) {
+      auto* listener = static_cast<Listener*>(server->data);
+      if (status < 0) return;
+      auto in = std::make_shared<Inbound>();
+      in->owner = listener;
+      uv_tcp_init(&listener->rt->loop_, &in->tcp);
+      in->tcp.data = in.get();
+      in->last = listener->rt->now();
+      http_parser_init(&in->parser, HTTP_REQUEST);
+      in->parser.data = in.get();
+      in->place = listener->open.insert(listener->open.end(), in);
+      ++listener->rt->open_sockets_;
+      if (uv_accept(server, reinterpret_cast<uv_stream_t*>(&in->tcp)) != 0) {
+        in->close();
+        return;
+      }
+      uv_tcp_nodelay(&in->tcp, 1);
+      in->refusing = static_cast<int>(listener->open.size()) > listener->most ||
+                     listener->rt->open_sockets_ > listener->rt->max_sockets_ - kReservedSockets;
+      uv_read_start(reinterpret_cast<uv_stream_t*>(&in->tcp), take_buffer, Inbound::on_read);
+    });
+  }
+  if (rc != 0) throw std::runtime_error("cannot listen on " + at + ": " + uv_strerror(rc));
+  ++open_sockets_;
+  listeners_.push_back(std::move(l));
+}
+
+// ---------------------------------------------------------------- outgoing
+
+struct UvRuntime::Pool {
+  struct Call {
+    Request request;
+    Done done;
+  };
+  Endpoint at;
+  std::list<std::shared_ptr<Outbound>> open;
+  std::deque<std::shared_ptr<Call>> waiting;
+};
+
+struct UvRuntime::Outbound : std::enable_shared_from_this<Outbound> {
+  UvRuntime* rt = nullptr;
+  Pool* pool = nullptr;
+  uv_tcp_t tcp{};
+  uv_connect_t connect_req{};
+  http_parser parser{};
+  bool connected = false;
+  bool closing = false;
+  std::shared_ptr<Pool::Call> call;  ///< null while idle
+  Response response;
+  Instant idle_since{};
+  std::list<std::shared_ptr<Outbound>>::iterator place;
+
+  void close() {
+    if (closing) return;
+    closing = true;
+    uv_close(reinterpret_cast<uv_handle_t*>(&tcp), [](uv_handle_t* h) {
+      auto* self = static_cast<Outbound*>(h->data);
+      UvRuntime* runtime = self->rt;
+      Pool* p = self->pool;
+      --runtime->open_sockets_;
+      p->open.erase(self->place);
+      runtime->pump(*p);
+    });
+  }
+
+  void settle(bool answered) {
+    if (!call) return;
+    const std::shared_ptr<Pool::Call> c = std::move(call);
+    call.reset();
+    Outcome out;
+    out.answered = answered;
+    out.sent = connected;
+    if (answered) out.response = std::move(response);
+    response = {};
+    rt->post([c, out = std::move(out)]() mutable { c->done(std::move(out)); });
+  }
+
+  void fail() {
+    settle(false);
+    close();
+  }
+
+  void start(std::shared_ptr<Pool::Call> next) {
+    call = std::move(next);
+    if (connected) transmit();
+  }
+
+  void transmit() {
+    const Request& r = call->request;
+    std::string out = r.method + " " + r.target + " HTTP/1.1\r\nHost: " + pool->at + "\r\n";
+    if (!r.body.empty()) out += "Content-Type: application/cbor\r\n";
+    if (r.method != "GET" || !r.body.empty()) out += "Content-Length: " + std::to_string(r.body.size()) + "\r\n";
+    out += "\r\n";
+    out += r.body;
+    http_parser_init(&parser, HTTP_RESPONSE);
+    parser.data = this;
+    write_bytes(&tcp, std::move(out));
+  }
+
+  static void on_read(uv_stream_t* stream, ssize_t n, const uv_buf_t* buf) {
+    auto* self = static_cast<Outbound*>(stream->data);
+    if (n == 0 || self->closing) return;
+    const auto keep = self->shared_from_this();
+    if (n < 0) {
+      if (self->call) http_parser_execute(&self->parser, &settings(), nullptr, 0);
+      self->fail();
+      return;
+    }
+    if (!self->call) {  // nothing was asked
+      self->close();
+      return;
+    }
+    const std::size_t used =
+        http_parser_execute(&self->parser, &settings(), buf->base, static_cast<std::size_t>(n));
+    if (self->call && (used != static_cast<std::size_t>(n) || HTTP_PARSER_ERRNO(&self->parser) != HPE_OK)) {
+      self->fail();
+    }
+  }
+
+  static const http_parser_settings& settings() {
+    static const http_parser_settings s = [] {
+      http_parser_settings x;
+      http_parser_settings_init(&x);
+      x.on_body = [](http_parser* p, const char* at, std::size_t n) {
+        static_cast<Outbound*>(p->data)->response.body.append(at, n);
+        return 0;
+      };
+      x.on_message_complete = [](http_parser* p) {
+        auto* self = static_cast<Outbound*>(p->data);
+        self->response.status = static_cast<int>(p->status_code);
+        const bool keep = http_should_keep_alive(p) != 0;
+        self->settle(true);
+        self->idle_since = self->rt->now();
+        if (!keep) {
+          self->close();
+        } else {
+          // Not at once: the parser is still inside this callback and a new call would reset it.
+          self->rt->post([r = self->rt, p2 = self->pool] { r->pump(*p2); });
+        }
+        return 0;
+      };
+      return x;
+    }();
+    return s;
+  }
+};
+
+void UvRuntime::pump(Pool& pool) {
+  while (!pool.waiting.empty()) {
+    const auto idle = std::find_if(pool.open.begin(), pool.open.end(), [](const auto& o) {
+      return !o->closing && !o->call && o->connected;
+    });
+    if (idle != pool.open.end()) {
+      auto c = pool.waiting.front();
+      pool.waiting.pop_front();
+      (*idle)->start(std::move(c));
+      continue;
+    }
+    if (static_cast<int>(pool.open.size()) >= kPoolSize) return;
+    auto c = pool.waiting.front();
+    pool.waiting.pop_front();
+    const sockaddr_in addr = address(pool.at);
+    if (open_sockets_ >= max_sockets_ || addr.sin_family != AF_INET) {
+      post([c] { c->done(Outcome{false, false, {}}); });
+      continue;
+    }
+    auto out = std::make_shared<Outbound>();
+    out->rt = this;
+    out->pool = &pool;
+    uv_tcp_init(&loop_, &out->tcp);
+    out->tcp.data = out.get();
+    ++open_sockets_;
+    out->place = pool.open.insert(pool.open.end(), out);
+    out->call = std::move(c);
+    const int rc = uv_tcp_connect(&out->connect_req, &out->tcp, reinterpret_cast<const sockaddr*>(&addr),
+                                  [](uv_connect_t* req, int status) {
+                                    auto* self = static_cast<Outbound*>(req->handle->data);
+                                    if (self->closing) return;
+                                    if (status != 0) {
+                                      self->fail();
+                                      return;
+                                    }
+                                    self->connected = true;
+                                    uv_tcp_nodelay(&self->tcp, 1);
+                                    uv_read_start(reinterpret_cast<uv_stream_t*>(&self->tcp), take_buffer, Outbound::on_read);
+                                    if (self->call) self->transmit();
+                                  });
+    if (rc != 0) out->fail();
+  }
+}
+
+void UvRuntime::fetch(const Endpoint& to, Request request, Micros timeout, Done done) {
+  auto& slot = pools_[to];
+  if (!slot) {
+    slot = std::make_unique<Pool>();
+    slot->at = to;
+  }
+  Pool* pool = slot.get();
+  auto call = std::make_shared<Pool::Call>(Pool::Call{std::move(request), std::move(done)});
+  pool->waiting.push_back(call);
+  std::weak_ptr<Pool::Call> weak = call;
+  after(timeout, [this, pool, weak] {
+    const auto c = weak.lock();
+    if (!c) return;
+    for (const auto& o : pool->open) {
+      if (o->call == c) {
+        o->fail();
+        return;
+      }
+    }
+    std::erase(pool->waiting, c);
+    c->done(Outcome{false, false, {}});
+  });
+  pump(*pool);
+}
+
+// ---------------------------------------------------------------- loop
+
+UvRuntime::UvRuntime(int max_sockets) : random_(std::random_device{}()), max_sockets_(max_sockets) {
+  uv_loop_init(&loop_);
+  // Mail is delivered after every round of the loop's events; the idle handle keeps the loop from sleeping
+  // while some is left.
+  uv_check_init(&loop_, &mail_check_);
+  mail_check_.data = this;
+  uv_check_start(&mail_check_, [](uv_check_t* h) { static_cast<UvRuntime*>(h->data)->drain(); });
+  uv_idle_init(&loop_, &mail_idle_);
+  mail_idle_.data = this;
+  after(from_seconds(5), [this] { sweep(); });
+}
+
+UvRuntime::~UvRuntime() = default;
+
+void UvRuntime::run() {
+  drain();
+  uv_run(&loop_, UV_RUN_DEFAULT);
+}
+
+void UvRuntime::drain() {
+  if (draining_) return;
+  draining_ = true;
+  while (!mail_.empty()) {
+    auto f = std::move(mail_.front());
+    mail_.pop_front();
+    f();
+  }
+  draining_ = false;
+  uv_idle_stop(&mail_idle_);
+}
+
+void UvRuntime::post(std::function<void()> f) {
+  mail_.push_back(std::move(f));
+  if (!draining_) uv_idle_start(&mail_idle_, [](uv_idle_t*) {});
+}
+
+void UvRuntime::after(Micros delay, std::function<void()> f) {
+  struct Timer {
+    uv_timer_t handle{};
+    std::function<void()> f;
+  };
+  auto* t = new Timer;
+  t->f = std::move(f);
+  uv_timer_init(&loop_, &t->handle);
+  t->handle.data = t;
+  uv_update_time(&loop_);
+  const std::int64_t ms = std::max<std::int64_t>(0, (delay.count() + 999) / 1000);
+  uv_timer_start(
+      &t->handle,
+      [](uv_timer_t* h) {
+        auto* timer = static_cast<Timer*>(h->data);
+        timer->f();
+        uv_close(reinterpret_cast<uv_handle_t*>(h), [](uv_handle_t* x) { delete static_cast<Timer*>(x->data); });
+      },
+      static_cast<std::uint64_t>(ms), 0);
+}
+
+Instant UvRuntime::now() const { return Instant{Micros{static_cast<std::int64_t>(uv_hrtime() / 1000)}}; }
+
+WallTime UvRuntime::wall() const {
+  return WallTime{std::chrono::duration_cast<Micros>(std::chrono::system_clock::now().time_since_epoch())};
+}
+
+void UvRuntime::sweep() {
+  const Instant t = now();
+  for (const auto& l : listeners_) {
+    std::vector<std::shared_ptr<Inbound>> old;
+    for (const auto& in : l->open) {
+      if (!in->answering && t - in->last > (in->finished ? kInboundLinger : in->begun ? kInboundStall : kInboundIdle)) old.push_back(in);
+    }
+    for (const auto& in : old) in->close();
+  }
+  for (const auto& [at, pool] : pools_) {
+    std::vector<std::shared_ptr<Outbound>> old;
+    for (const auto& o : pool->open) {
+      if (!o->call && o->connected && t - o->idle_since > from_seconds(30)) old.push_back(o);
+    }
+    for (const auto& o : old) o->close();
+  }
+  after(from_seconds(5), [this] { sweep(); });
+}
+
+}  // namespace wrenusher
--- /dev/null
+++ b/src/planner.cpp
@@ -0,0 +1,198 @@
+#include "wrenusher/planner.hpp"
+
+#include <algorithm>
+#include <limits>
+#include <numeric>
+
+namespace wrenusher::planner {
+
+namespace {
+
+/// Finish times closer than this count as equal: estimates are off by far more, and among equals the machine
+/// that the task fills best is taken, so that large tasks keep whole machines.
+constexpr Micros kAlike = from_seconds(5);
+
+Needs ceiling_left(const Snapshot& s, const std::string& owner) {
+  constexpr Amount kNoLimit = std::numeric_limits<Amount>::max() / 4;
+  Needs left{kNoLimit, kNoLimit, kNoLimit};
+  const Team* team = s.settings->team(owner);
+  if (team == nullptr) return {};
+  Needs used;
+  if (const auto it = s.teams.find(owner); it != s.teams.end()) used = it->second.used;
+  if (team->cores_max > 0) left.cores = to_amount(team->cores_max) - used.cores;
+  if (team->cards_max > 0) left.cards = to_amount(team->cards_max) - used.cards;
+  return left;
+}
+
+bool below_guarantee(const Snapshot& s, const JobSpec& spec) {
+  const Team* team = s.settings->team(spec.owner);
+  if (team == nullptr || (team->cores <= 0 && team->cards <= 0)) return false;
+  Needs used;
+  if (const auto it = s.teams.find(spec.owner); it != s.teams.end()) used = it->second.used;
+  used += spec.needs;
+  return used.cores <= to_amount(team->cores) && used.cards <= to_amount(team->cards);
+}
+
+/// How much of the machine stays unused by tasks of this need, from 0 to 1: the more, the worse the fit.
+double misfit(const PlanHost& host, const Needs& need) {
+  const Needs& all = host.flavor->room;
+  const double cores = all.cores > 0 ? static_cast<double>(host.room.cores - need.cores) / static_cast<double>(all.cores) : 0;
+  // A machine much larger than the task is better kept for what fits nowhere else.
+  const double size = static_cast<double>(all.cores) / 1e9;
+  return cores + size;
+}
+
+}  // namespace
+
+std::uint32_t count_fitting(const Needs& need, const Needs& room, std::uint32_t most) {
+  Amount n = most;
+  if (need.cores > 0) n = std::min(n, room.cores / need.cores);
+  if (need.cards > 0) n = std::min(n, room.cards / need.cards);
+  if (need.memory > 0) n = std::min(n, room.memory / need.memory);
+  if (room.cores < 0 || room.cards < 0 || room.memory < 0) n = 0;
+  return static_cast<std::uint32_t>(std::max<Amount>(n, 0));
+}
+
+std::uint32_t zone_allowance(const JobSpec& spec, const std::map<std::string, std::uint32_t>& zones,
+                             const std::string& zone) {
+  std::uint32_t allowed = spec.units;
+  if (spec.same_place) {
+    for (const auto& [z, n] : zones) {
+      if (n > 0 && z != zone) return 0;
+    }
+  }
+  if (spec.scatter) {
+    const std::uint32_t half = (spec.units + 1) / 2;
+    const auto it = zones.find(zone);
+    const std::uint32_t there = it == zones.end() ? 0 : it->second;
+    allowed = there >= half ? 0 : half - there;
+  }
+  return allowed;
+}
+
+Micros rank(const PlanJob& job) { return job.estimate; }
+
+Micros fetch_time(const PlanHost& host, const JobSpec& spec) {
+  if (host.images != nullptr && host.images->contains(spec.bundle)) return Micros{0};
+  return from_seconds(spec.image_gb / host.flavor->pull_gb_per_s * (1.0 + host.fetching));
+}
+
+Micros finish_time(const PlanHost& host, const PlanJob& job) {
+  const Micros run{static_cast<std::int64_t>(static_cast<double>(job.estimate.count()) / host.speed)};
+  return fetch_time(host, *job.spec) + run;
+}
+
+std::vector<std::size_t> order(const Snapshot& s) {
+  std::vector<std::size_t> out(s.jobs.size());
+  std::iota(out.begin(), out.end(), std::size_t{0});
+  struct Key {
+    Urgency urgency;
+    bool beyond;  // false (below the guarantee) goes first
+    Micros minus_rank;
+    std::int64_t due;
+    std::int64_t accepted;
+    auto operator<=>(const Key&) const = default;
+  };
+  std::vector<Key> keys;
+  keys.reserve(s.jobs.size());
+  for (const PlanJob& j : s.jobs) {
+    const std::int64_t accepted = j.accepted.time_since_epoch().count();
+    const std::int64_t due =
+        j.spec->due ? accepted + j.spec->due->count() : std::numeric_limits<std::int64_t>::max();
+    keys.push_back({j.spec->urgency, !below_guarantee(s, *j.spec), -rank(j), due, accepted});
+  }
+  std::sort(out.begin(), out.end(), [&](std::size_t a, std::size_t b) {
+    return keys[a] != keys[b] ? keys[a] < keys[b] : s.jobs[a].spec->ref < s.jobs[b].spec->ref;
+  });
+  return out;
+}
+
+Plan place(Snapshot s) {
+  Plan plan;
+  // Images that this plan itself brings to a machine, on top of those already there.
+  std::vector<std::vector<const std::string*>> coming(s.hosts.size());
+  const auto has_image = [&](std::size_t h, const JobSpec& spec) {
+    return std::any_of(coming[h].begin(), coming[h].end(), [&](const std::string* b) { return *b == spec.bundle; });
+  };
+  for (const std::size_t j : order(s)) {
+    PlanJob& job = s.jobs[j];
+    const JobSpec& spec = *job.spec;
+    const Needs left = ceiling_left(s, spec.owner);
+    std::uint32_t want = count_fitting(spec.needs, left, job.waiting);
+    const bool gang = spec.shape == Shape::gang;
+    if (want == 0 || (gang && want < job.waiting)) continue;
+
+    struct Candidate {
+      std::size_t host;
+      Micros finish;
+      double misfit;
+      std::uint32_t fits;
+    };
+    std::vector<Candidate> candidates;
+    for (std::size_t h = 0; h < s.hosts.size(); ++h) {
+      const PlanHost& host = s.hosts[h];
+      if (!spec.allows(host.flavor->name, host.site, host.standby)) continue;
+      if (job.avoid != nullptr) {
+        const auto it = job.avoid->find(host.name);
+        if (it != job.avoid->end() && s.clock < it->second) continue;
+      }
+      const std::uint32_t fits = count_fitting(spec.needs, host.room, want);
+      if (fits == 0) continue;
+      Micros finish = finish_time(host, job);
+      if (has_image(h, spec)) finish -= fetch_time(host, spec);
+      candidates.push_back({h, finish, misfit(host, spec.needs), fits});
+    }
+    std::sort(candidates.begin(), candidates.end(), [](const Candidate& a, const Candidate& b) {
+      const auto ra = a.finish / kAlike;
+      const auto rb = b.finish / kAlike;
+      if (ra != rb) return ra < rb;
+      if (a.misfit != b.misfit) return a.misfit < b.misfit;
+      return a.host < b.host;
+    });
+
+    // A job that must stay together tries one zone after the other; for the rest the zone is open.
+    std::vector<std::string> tries{""};
+    if (spec.same_place && job.zones.empty()) {
+      tries.clear();
+      for (const Candidate& c : candidates) {
+        const std::string& z = s.hosts[c.host].site;
+        if (std::find(tries.begin(), tries.end(), z) == tries.end()) tries.push_back(z);
+      }
+      if (!gang && tries.size() > 1) tries.resize(1);
+    }
+    std::uint32_t placed = 0;
+    for (const std::string& only : tries) {
+      std::map<std::string, std::uint32_t> zones = job.zones;
+      std::vector<Placement> chosen;
+      std::uint32_t got = 0;
+      for (const Candidate& c : candidates) {
+        if (got == want) break;
+        const std::string& site = s.hosts[c.host].site;
+        if (!only.empty() && site != only) continue;
+        const std::uint32_t n = std::min({c.fits, want - got, zone_allowance(spec, zones, site)});
+        if (n == 0) continue;
+        chosen.push_back({j, c.host, n});
+        zones[site] += n;
+        got += n;
+      }
+      if (gang && got < want) continue;
+      for (const Placement& p : chosen) {
+        PlanHost& host = s.hosts[p.host];
+        host.room -= spec.needs * p.tasks;
+        if (!has_image(p.host, spec) && (host.images == nullptr || !host.images->contains(spec.bundle))) {
+          coming[p.host].push_back(&spec.bundle);
+          ++host.fetching;
+        }
+        plan.placements.push_back(p);
+      }
+      placed = got;
+      break;
+    }
+    // What is short counts against the ceiling too: it will be used as soon as there is room.
+    s.teams[spec.owner].used += spec.needs * want;
+    if (placed < want) plan.shortages.push_back({j, want - placed});
+  }
+  return plan;
+}
+
+}  // namespace wrenusher::planner
--- /dev/null
+++ b/src/provisioner.cpp
@@ -0,0 +1,411 @@
+#include "wrenusher/provisioner.hpp"
+
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+#include <limits>
+
+namespace wrenusher {
+
+namespace {
+
+constexpr Micros kTick = millis(500);
+constexpr Micros kTimeout = from_seconds(5);
+constexpr Micros kListEvery = from_seconds(4);
+constexpr Micros kCatalogEvery = from_seconds(30);
+constexpr Micros kRecordEvery = from_seconds(3);
+constexpr Micros kRefusedPause = from_seconds(8);
+constexpr std::uint32_t kMostPerBooking = 50;
+constexpr std::size_t kMostPerReturn = 100;
+constexpr int kBookingTries = 8;
+
+}  // namespace
+
+Provisioner::Provisioner(Runtime& rt, const Settings& settings, Store& store)
+    : rt_(rt), settings_(settings), store_(store), pace_(settings.cloud_rps * 0.9, rt.now()) {}
+
+void Provisioner::start() { tick(); }
+
+void Provisioner::on_term(const TermChanged& t) {
+  const bool begins = t.leading && !(term_.leading && term_.epoch == t.epoch);
+  term_ = t;
+  if (!begins) return;
+  calls_.clear();
+  open_bookings_.clear();
+  refused_until_.clear();
+  machines_.clear();
+  to_return_.clear();
+  load_ = {};
+  listing_ = returning_ = false;
+  bookings_made_ = 0;
+  next_list_ = next_catalog_ = rt_.now();
+  // What an earlier leader rented shows only after the list's lag; before that it would be rented twice.
+  rent_not_before_ = rt_.now() + (t.epoch > 1 ? settings_.list_lag : Micros{0});
+}
+
+void Provisioner::tick() {
+  const Instant now = rt_.now();
+  if (term_.leading) {
+    if (now >= next_list_ && !listing_) ask_list({});
+    if (now >= next_catalog_) ask_catalog();
+    if (!catalog_) read_catalog_record();
+    if (certain()) review();
+  } else if (now >= next_catalog_) {
+    read_catalog_record();
+  }
+  rt_.after(kTick, [this] { tick(); });
+}
+
+// ---------------------------------------------------------------- calls to the cloud
+
+void Provisioner::cloud(Request request, bool first, std::function<void(const Outcome&)> done) {
+  auto send = [this, request = std::move(request), done = std::move(done)]() mutable {
+    rt_.fetch(settings_.cloud, std::move(request), kTimeout, [this, done = std::move(done)](const Outcome& o) {
+      const bool no_capacity = o.answered && o.response.status == 503 &&
+                               o.response.body.find("no capacity") != std::string::npos;
+      if (!o.answered || o.response.status == 429 || (o.response.status == 503 && !no_capacity)) {
+        troubles_ = std::min(troubles_ + 1, 5);
+        if (troubles_ == 3) spdlog::warn("the cloud gives no answers");
+        cloud_not_before_ = rt_.now() + millis(300) * troubles_ + rt_.jitter(millis(300) * troubles_);
+      } else {
+        if (troubles_ >= 3) spdlog::info("the cloud answers again");
+        troubles_ = 0;
+      }
+      done(o);
+    });
+  };
+  if (first) {
+    calls_.emplace_front(std::move(send));
+  } else {
+    calls_.emplace_back(std::move(send));
+  }
+  pump();
+}
+
+void Provisioner::pump() {
+  if (pumping_) return;
+  while (!calls_.empty()) {
+    const Instant now = rt_.now();
+    if (now < cloud_not_before_ || !pace_.take(1, now)) {
+      pumping_ = true;
+      rt_.after(millis(50), [this] {
+        pumping_ = false;
+        pump();
+      });
+      return;
+    }
+    auto send = std::move(calls_.front());
+    calls_.pop_front();
+    send();
+  }
+}
+
+// ---------------------------------------------------------------- catalog
+
+void Provisioner::ask_catalog() {
+  next_catalog_ = rt_.now() + kCatalogEvery;
+  cloud({"GET", "/catalog", {}}, false, [this](const Outcome& o) {
+    if (!o.answered || o.response.status != 200) {
+      next_catalog_ = std::min(next_catalog_, rt_.now() + from_seconds(2));
+      return;
+    }
+    if (const auto v = decode(o.response.body)) {
+      take_catalog(*v);
+      if (term_.leading) write_catalog(*v);
+    }
+  });
+}
+
+void Provisioner::take_catalog(const Value& v) {
+  auto c = read_catalog(v);
+  if (!c || c->empty()) return;
+  if (!catalog_) spdlog::info("{} machine types are known", c->size());
+  catalog_ = std::make_shared<const Catalog>(std::move(*c));
+  catalog_seen(CatalogSeen{catalog_});
+}
+
+/// Kept so that a node that starts while the cloud is down can still tell what can never run.
+void Provisioner::write_catalog(const Value& v) {
+  std::string types;
+  for (const auto& [name, f] : *catalog_) {
+    types += name + ' ' + std::to_string(f.room.cores) + ' ' + std::to_string(f.room.cards) + ' ' +
+             std::to_string(f.room.memory) + ' ' + std::to_string(f.sites.size()) + ';';
+  }
+  if (types == catalog_written_) return;
+  store_.commit({{"leader", term_.stamp}}, {{"catalog", v, 0}}, Store::Urgent::schedule, [this, types](const Commit& c) {
+    if (c.result == Commit::Result::committed) catalog_written_ = types;
+  });
+}
+
+void Provisioner::read_catalog_record() {
+  next_catalog_ = std::max(next_catalog_, rt_.now() + (catalog_ ? kCatalogEvery : kRecordEvery));
+  store_.get("catalog", Store::Urgent::schedule, [this](const Read& r) {
+    if (r.result != Read::Result::ok) return;
+    if (!r.rows.empty()) {
+      if (!catalog_ || !term_.leading) take_catalog(r.rows[0].value);
+    } else if (!catalog_ && !term_.leading) {
+      ask_catalog();
+    }
+  });
+}
+
+// ---------------------------------------------------------------- the list of machines
+
+Micros Provisioner::patience(const std::string& flavor) const {
+  Micros boot = from_seconds(60);
+  if (catalog_) {
+    if (const auto it = catalog_->find(flavor); it != catalog_->end()) boot = it->second.boot;
+  }
+  return std::max(settings_.lease, from_seconds(to_seconds(boot) * settings_.tunables.slow_boot_factor));
+}
+
+Provisioner::Machine& Provisioner::know(const std::string& host) {
+  const auto [it, added] = machines_.try_emplace(host);
+  if (added) {
+    it->second.rented = rt_.now();
+    it->second.idle_since = rt_.now();
+    it->second.expected = rt_.now() + std::max(settings_.lease, settings_.list_lag * 2);
+  }
+  return it->second;
+}
+
+void Provisioner::ask_list(const std::string& from) {
+  listing_ = true;
+  next_list_ = rt_.now() + kListEvery;
+  std::string target = "/rentals?limit=500";
+  if (!from.empty()) target += "&from=" + from;
+  cloud({"GET", target, {}}, false, [this, term = term_.epoch](const Outcome& o) {
+    if (!term_.leading || term_.epoch != term) return;
+    listing_ = false;
+    const auto v = o.answered && o.response.status == 200 ? decode(o.response.body) : std::nullopt;
+    const Value::List* list = v ? (*v)["hosts"].list() : nullptr;
+    if (list == nullptr) return;
+    std::string last;
+    for (const Value& item : *list) {
+      if (const auto r = read_rental(item)) {
+        take_rental(*r);
+        last = r->ref;
+      }
+    }
+    if ((*v)["truncated"].boolean().value_or(false) && !last.empty()) ask_list(last);
+  });
+}
+
+void Provisioner::take_rental(const Rental& r) {
+  if (to_return_.contains(r.ref)) return;
+  const bool added = !machines_.contains(r.ref);
+  Machine& m = know(r.ref);
+  m.flavor = r.flavor;
+  m.site = r.site;
+  m.standby = r.standby;
+  if (added) {
+    m.rented = rt_.now() - r.held;
+    m.expected = std::max(m.expected, m.rented + patience(r.flavor));
+    spdlog::debug("machine {} ({}) is in the list", r.ref, r.flavor);
+  }
+  if (r.status == "running" && !m.running) {
+    m.running = true;
+    if (!m.up) m.expected = std::min(m.expected, rt_.now() + std::max(settings_.lease, settings_.report * 4));
+  }
+  if (r.status == "failed") give_back(r.ref, "it has failed");
+}
+
+// ---------------------------------------------------------------- rent and return
+
+void Provisioner::book(const Kind& kind, std::uint32_t count) {
+  Booking b;
+  // Never used twice: an epoch has one leader, and a leader counts.
+  b.name = "r-" + std::to_string(term_.epoch) + "-" + std::to_string(++bookings_made_);
+  b.kind = kind;
+  b.count = std::min(count, kMostPerBooking);
+  open_bookings_[b.name] = b;
+  send_rental(b);
+}
+
+void Provisioner::send_rental(const Booking& b) {
+  const std::string body = encode(Value::Map{{"booking", b.name},
+                                             {"flavor", b.kind.flavor},
+                                             {"site", b.kind.site},
+                                             {"standby", b.kind.standby},
+                                             {"count", std::uint64_t{b.count}}});
+  cloud({"POST", "/rentals", body}, false, [this, name = b.name, term = term_.epoch](const Outcome& o) {
+    if (!term_.leading || term_.epoch != term) return;
+    const auto it = open_bookings_.find(name);
+    if (it == open_bookings_.end()) return;
+    Booking& booking = it->second;
+    const Kind kind = booking.kind;
+    if (o.answered && o.response.status == 200) {
+      const auto v = decode(o.response.body);
+      std::uint32_t got = 0;
+      if (v && (*v)["hosts"].list() != nullptr) {
+        for (const Value& h : *(*v)["hosts"].list()) {
+          if (h.text() == nullptr) continue;
+          ++got;
+          Machine& m = know(*h.text());
+          m.flavor = kind.flavor;
+          m.site = kind.site;
+          m.standby = kind.standby;
+          if (!m.up) m.expected = rt_.now() + patience(kind.flavor);
+        }
+      }
+      spdlog::info("rented {} of {} {} {} in {}", got, booking.count, kind.standby ? "spot" : "ordinary", kind.flavor,
+                   kind.site);
+      if (got < booking.count) refused_until_[kind] = rt_.now() + kRefusedPause;
+      open_bookings_.erase(it);
+      return;
+    }
+    if (o.answered && o.response.status == 503 && o.response.body.find("no capacity") != std::string::npos) {
+      spdlog::info("no capacity for {} {} in {}", kind.standby ? "spot" : "ordinary", kind.flavor, kind.site);
+      refused_until_[kind] = rt_.now() + kRefusedPause;
+      open_bookings_.erase(it);
+      return;
+    }
+    if ((o.answered && o.response.status == 400) || ++booking.tries >= kBookingTries) {
+      spdlog::warn("booking {} of {} given up", name, kind.flavor);
+      open_bookings_.erase(it);
+      return;
+    }
+    // Without an answer it may have been executed: the same name again gets the same machines.
+    send_rental(booking);
+  });
+}
+
+void Provisioner::give_back(const std::string& host, const char* why) {
+  Machine& m = know(host);
+  if (m.returning) return;
+  m.returning = true;
+  spdlog::info("returning {} ({}): {}", host, m.flavor, why);
+  condemned(HostCondemned{host, why});
+  to_return_.insert(host);
+}
+
+void Provisioner::send_return() {
+  if (returning_ || to_return_.empty()) return;
+  returning_ = true;
+  Value::List hosts;
+  std::vector<std::string> names;
+  for (const std::string& h : to_return_) {
+    if (names.size() == kMostPerReturn) break;
+    names.push_back(h);
+    hosts.emplace_back(h);
+  }
+  cloud({"POST", "/rentals/return", encode(Value::Map{{"hosts", std::move(hosts)}})}, true,
+        [this, names, term = term_.epoch](const Outcome& o) {
+          if (!term_.leading || term_.epoch != term) return;
+          returning_ = false;
+          if (!o.answered || o.response.status != 200) return;  // asked again by the next review
+          for (const std::string& h : names) {
+            to_return_.erase(h);
+            machines_.erase(h);
+            gone(HostGone{h});
+          }
+        });
+}
+
+void Provisioner::on_quiet(const HostQuiet& q) {
+  if (term_.leading) give_back(q.host, "it is silent");
+}
+
+void Provisioner::on_suspect(const HostCondemned& c) {
+  if (term_.leading) give_back(c.host, "tasks of several jobs failed on it");
+}
+
+void Provisioner::on_workload(const Workload& w) {
+  if (!term_.leading) return;
+  load_ = w;
+  const Instant now = rt_.now();
+  for (const Workload::HostLoad& h : w.hosts) {
+    if (to_return_.contains(h.host)) continue;
+    Machine& m = know(h.host);
+    if (!h.flavor.empty()) {
+      m.flavor = h.flavor;
+      m.site = h.site;
+      m.standby = h.standby;
+    }
+    if (h.usable) m.up = true;
+    if (h.claims > 0) m.idle_since = now;
+    if (m.draining && h.claims == 0) give_back(h.host, "it is idle");
+  }
+  if (certain()) plan_rentals();
+}
+
+void Provisioner::review() {
+  const Instant now = rt_.now();
+  for (auto& [host, m] : machines_) {
+    if (m.returning) continue;
+    if (!m.up) {
+      if (now > m.expected) give_back(host, "it does not come up");
+    } else if (!m.draining && now - m.idle_since > settings_.tunables.idle_return) {
+      // First the ledger puts nothing on it any more; it goes back when the ledger shows it empty.
+      m.draining = true;
+      condemned(HostCondemned{host, "idle"});
+    }
+  }
+  send_return();
+}
+
+void Provisioner::plan_rentals() {
+  const Instant now = rt_.now();
+  if (!catalog_ || now < rent_not_before_) return;
+  struct Bin {
+    Kind kind;
+    Needs room;
+  };
+  std::vector<Bin> bins;
+  const auto add_bins = [&](const Kind& kind, std::uint32_t n) {
+    if (const auto f = catalog_->find(kind.flavor); f != catalog_->end()) {
+      for (std::uint32_t i = 0; i < n; ++i) bins.push_back({kind, f->second.room});
+    }
+  };
+  for (const auto& [host, m] : machines_) {
+    if (!m.up && !m.returning) add_bins({m.flavor, m.site, m.standby}, 1);
+  }
+  for (const auto& [name, b] : open_bookings_) add_bins(b.kind, b.count);
+
+  std::map<Kind, std::uint32_t> wanted;
+  for (const Workload::Demand& d : load_.demands) {
+    std::uint32_t left = d.tasks;
+    const auto fill = [&](Bin& bin) {
+      if (left == 0 || !d.spec.allows(bin.kind.flavor, bin.kind.site, bin.kind.standby)) return;
+      const std::uint32_t n = planner::count_fitting(d.spec.needs, bin.room, left);
+      bin.room -= d.spec.needs * n;
+      left -= n;
+    };
+    for (Bin& bin : bins) fill(bin);
+    while (left > 0) {
+      const Kind* best = nullptr;
+      Kind kind;
+      double best_cost = std::numeric_limits<double>::infinity();
+      std::uint32_t best_per = 0;
+      Kind best_kind;
+      for (const auto& [name, f] : *catalog_) {
+        const std::uint32_t per = planner::count_fitting(d.spec.needs, f.room, left);
+        if (per == 0) continue;
+        const double run = to_seconds(d.estimate);
+        const double hold = to_seconds(f.boot) + d.spec.image_gb / f.pull_gb_per_s + run;
+        for (const std::string& site : f.sites) {
+          for (const bool standby : {true, false}) {
+            kind = {name, site, standby};
+            if (!d.spec.allows(name, site, standby)) continue;
+            if (const auto it = refused_until_.find(kind); it != refused_until_.end() && now < it->second) continue;
+            const double cost = (standby ? f.low_price : f.rate) * hold / per;
+            if (cost < best_cost) {
+              best_cost = cost;
+              best_kind = kind;
+              best_per = per;
+              best = &best_kind;
+            }
+          }
+        }
+      }
+      if (best == nullptr) break;
+      ++wanted[*best];
+      bins.push_back({*best, catalog_->at(best->flavor).room});
+      bins.back().room -= d.spec.needs * best_per;
+      left -= std::min(left, best_per);
+    }
+  }
+  for (const auto& [kind, n] : wanted) book(kind, n);
+}
+
+}  // namespace wrenusher
--- /dev/null
+++ b/src/store.cpp
@@ -0,0 +1,291 @@
+#include "wrenusher/store.hpp"
+
+#include <algorithm>
+
+namespace wrenusher {
+
+namespace {
+
+constexpr Micros kTimeout = from_seconds(1.5);
+/// The service counts as out of reach when nothing good came from it for this long.
+constexpr Micros kStale = from_seconds(2.0);
+/// Users' calls beyond this many waiting ones are refused at once.
+constexpr std::size_t kMostWaiting = 64;
+constexpr double kLeaderShare = 0.7;
+
+Row read_row(const Value& v, const char* key_field) {
+  Row r;
+  if (const std::string* k = v[key_field].text()) r.key = *k;
+  r.value = v["value"];
+  r.stamp = v["stamp"].count().value_or(0);
+  return r;
+}
+
+std::uint64_t revision_of(const Value& v) { return v["ledger_rev"].count().value_or(0); }
+
+}  // namespace
+
+void Pace::refill(Instant now) {
+  tokens_ = std::min(rate_, tokens_ + to_seconds(now - at_) * rate_);
+  at_ = now;
+}
+
+bool Pace::take(double n, Instant now) {
+  refill(now);
+  // A change larger than one second's worth goes out once the bucket is full, and is paid off afterwards.
+  if (tokens_ < std::min(n, rate_ * 0.999)) return false;
+  tokens_ -= n;
+  return true;
+}
+
+void Pace::force(double n, Instant now) {
+  refill(now);
+  tokens_ -= n;
+}
+
+Store::Store(Runtime& rt, const Settings& settings)
+    : rt_(rt),
+      settings_(settings),
+      requests_(settings.state_rps / static_cast<double>(settings.peers.size() + 1), rt.now()),
+      writes_(settings.state_write_rps / static_cast<double>(settings.peers.size() + 1), rt.now()) {
+  leading(false);
+}
+
+void Store::leading(bool yes) {
+  const auto others = static_cast<double>(settings_.peers.size());
+  const double share = others == 0 ? 1.0 : yes ? kLeaderShare : (1.0 - kLeaderShare) / others;
+  requests_.rate(settings_.state_rps * share * 0.95);
+  writes_.rate(std::max(1.0, settings_.state_write_rps * share * 0.95));
+}
+
+bool Store::reachable() const { return ever_good_ && rt_.now() - last_good_ < kStale; }
+
+void Store::seen(bool good) {
+  if (good) {
+    last_good_ = rt_.now();
+    ever_good_ = true;
+  }
+  if (reachable() != told_) {
+    told_ = !told_;
+    health(StoreHealth{told_});
+  }
+}
+
+void Store::call(Request request, Micros timeout, Done done) {
+  rt_.fetch(settings_.state, std::move(request), timeout, [this, done = std::move(done)](Outcome o) {
+    if (o.answered && o.response.status == 429) backoff_until_ = rt_.now() + millis(100) + rt_.jitter(millis(200));
+    seen(o.answered && o.response.status != 503 && o.response.status != 429);
+    done(std::move(o));
+  });
+}
+
+void Store::submit(Urgent urgent, double writes, std::function<void()> send, std::function<void()> refuse) {
+  const Instant now = rt_.now();
+  if (urgent == Urgent::hold) {
+    requests_.force(1, now);
+    writes_.force(writes, now);
+    send();
+    return;
+  }
+  if (urgent == Urgent::user && queue_.size() >= kMostWaiting) {
+    rt_.post(std::move(refuse));
+    return;
+  }
+  queue_.push_back({writes, std::move(send)});
+  pump();
+}
+
+void Store::pump() {
+  if (pumping_) return;
+  while (!queue_.empty()) {
+    const Instant now = rt_.now();
+    const Queued& q = queue_.front();
+    const bool wait = now < backoff_until_ || !requests_.take(1, now);
+    if (!wait && q.writes > 0 && !writes_.take(q.writes, now)) {
+      requests_.force(-1, now);
+    } else if (!wait) {
+      auto send = std::move(queue_.front().send);
+      queue_.pop_front();
+      send();
+      continue;
+    }
+    pumping_ = true;
+    rt_.after(millis(20), [this] {
+      pumping_ = false;
+      pump();
+    });
+    return;
+  }
+}
+
+void Store::get(const std::string& key, Urgent urgent, std::function<void(Read)> done) {
+  auto failed = [done] { done(Read{}); };
+  submit(
+      urgent, 0,
+      [this, key, done] {
+        call({"GET", "/store/" + key, {}}, kTimeout, [done](Outcome o) {
+          Read r;
+          if (o.answered && (o.response.status == 200 || o.response.status == 404)) {
+            if (const auto v = decode(o.response.body); v && v->map() != nullptr) {
+              r.result = Read::Result::ok;
+              r.revision = revision_of(*v);
+              if (o.response.status == 200) r.rows.push_back(read_row(*v, "k"));
+            }
+          }
+          done(std::move(r));
+        });
+      },
+      failed);
+}
+
+void Store::list(const std::string& prefix, const std::string& from, int limit, Urgent urgent,
+                 std::function<void(Read)> done) {
+  auto failed = [done] { done(Read{}); };
+  std::string target = "/store?starts=" + prefix + "&limit=" + std::to_string(limit);
+  if (!from.empty()) target += "&from=" + from;
+  submit(
+      urgent, 0,
+      [this, target, done] {
+        call({"GET", target, {}}, kTimeout, [done](Outcome o) {
+          Read r;
+          if (o.answered && o.response.status == 200) {
+            if (const auto v = decode(o.response.body); v && (*v)["rows"].list() != nullptr) {
+              r.result = Read::Result::ok;
+              r.revision = revision_of(*v);
+              r.truncated = (*v)["truncated"].boolean().value_or(false);
+              for (const Value& row : *(*v)["rows"].list()) r.rows.push_back(read_row(row, "k"));
+            }
+          }
+          done(std::move(r));
+        });
+      },
+      failed);
+}
+
+void Store::commit(const std::vector<Condition>& when, const std::vector<Change>& apply, Urgent urgent,
+                   std::function<void(Commit)> done) {
+  Value::List conditions;
+  for (const Condition& c : when) conditions.emplace_back(Value::Map{{"k", c.key}, {"stamp", c.stamp}});
+  Value::List changes;
+  for (const Change& c : apply) {
+    Value::Map m;
+    if (c.put) {
+      m.emplace_back("put", c.key);
+      m.emplace_back("value", *c.put);
+      if (c.tenancy != 0) m.emplace_back("tenancy", c.tenancy);
+    } else {
+      m.emplace_back("delete", c.key);
+    }
+    changes.emplace_back(std::move(m));
+  }
+  std::string body = encode(Value::Map{{"when", std::move(conditions)}, {"apply", std::move(changes)}});
+  submit(
+      urgent, static_cast<double>(apply.size()),
+      [this, body = std::move(body), done] {
+        call({"POST", "/multi", body}, kTimeout, [done](Outcome o) {
+          Commit c;
+          if (!o.answered) {
+            c.result = o.sent ? Commit::Result::unknown : Commit::Result::refused;
+          } else {
+            const auto v = decode(o.response.body);
+            switch (o.response.status) {
+              case 200:
+                c.result = v ? Commit::Result::committed : Commit::Result::unknown;
+                break;
+              case 409:
+                c.result = Commit::Result::conflict;
+                if (v && (*v)["failed"].list() != nullptr) {
+                  for (const Value& k : *(*v)["failed"].list()) {
+                    if (k.text() != nullptr) c.failed.push_back(*k.text());
+                  }
+                }
+                break;
+              case 429:
+              case 503:
+                c.result = Commit::Result::refused;
+                break;
+              case 400:
+                c.result = Commit::Result::invalid;
+                break;
+              default:
+                c.result = Commit::Result::unknown;
+            }
+            if (v) c.revision = revision_of(*v);
+          }
+          done(std::move(c));
+        });
+      },
+      [done] { done(Commit{}); });
+}
+
+void Store::hold(Micros life, std::function<void(HoldReply)> done) {
+  const std::string body = encode(Value::Map{{"life_ms", static_cast<std::uint64_t>(life.count() / 1000)}});
+  submit(
+      Urgent::hold, 0,
+      [this, body, done] {
+        call({"POST", "/holds", body}, kTimeout, [done](Outcome o) {
+          HoldReply h;
+          if (o.answered && o.response.status == 200) {
+            const auto v = decode(o.response.body);
+            if (const auto t = v ? (*v)["tenancy"].count() : std::nullopt) {
+              h.result = HoldReply::Result::ok;
+              h.tenancy = *t;
+            }
+          }
+          done(h);
+        });
+      },
+      {});
+}
+
+void Store::extend(std::uint64_t tenancy, std::function<void(HoldReply)> done) {
+  submit(
+      Urgent::hold, 0,
+      [this, tenancy, done] {
+        call({"POST", "/holds/" + std::to_string(tenancy) + "/extend", {}}, kTimeout, [done, tenancy](Outcome o) {
+          HoldReply h;
+          h.tenancy = tenancy;
+          if (o.answered && o.response.status == 200) h.result = HoldReply::Result::ok;
+          if (o.answered && o.response.status == 404) h.result = HoldReply::Result::gone;
+          done(h);
+        });
+      },
+      {});
+}
+
+void Store::drop(std::uint64_t tenancy) {
+  submit(
+      Urgent::hold, 0,
+      [this, tenancy] { call({"DELETE", "/holds/" + std::to_string(tenancy), {}}, kTimeout, [](const Outcome&) {}); },
+      {});
+}
+
+void Store::follow(const std::string& prefix, std::uint64_t from, Micros wait, std::function<void(FollowReply)> done) {
+  const std::string target = "/follow?starts=" + prefix + "&from=" + std::to_string(from) +
+                             "&hold_ms=" + std::to_string(wait.count() / 1000);
+  submit(
+      Urgent::hold, 0,
+      [this, target, wait, done] {
+        call({"GET", target, {}}, wait + kTimeout, [done](Outcome o) {
+          FollowReply f;
+          if (o.answered && o.response.status == 410) f.result = FollowReply::Result::too_old;
+          if (o.answered && o.response.status == 200) {
+            if (const auto v = decode(o.response.body); v && (*v)["events"].list() != nullptr) {
+              f.result = FollowReply::Result::ok;
+              f.revision = revision_of(*v);
+              for (const Value& e : *(*v)["events"].list()) {
+                if (const std::string* k = e["delete"].text()) {
+                  f.deletes.push_back(*k);
+                } else {
+                  f.puts.push_back(read_row(e, "put"));
+                }
+              }
+            }
+          }
+          done(std::move(f));
+        });
+      },
+      {});
+}
+
+}  // namespace wrenusher
--- /dev/null
+++ b/src/value.cpp
@@ -0,0 +1,311 @@
+#include "wrenusher/value.hpp"
+
+#include <cbor.h>
+
+#include <cmath>
+
+namespace wrenusher {
+
+namespace {
+
+const Value kNull;
+
+bool valid_utf8(std::string_view s) {
+  for (std::size_t i = 0; i < s.size();) {
+    const auto lead = static_cast<unsigned char>(s[i]);
+    std::size_t more = 0;
+    std::uint32_t code = lead;
+    if (lead >= 0xf0 && lead < 0xf5) {
+      more = 3;
+      code = lead & 0x07u;
+    } else if (lead >= 0xe0 && lead < 0xf0) {
+      more = 2;
+      code = lead & 0x0fu;
+    } else if (lead >= 0xc2 && lead < 0xe0) {
+      more = 1;
+      code = lead & 0x1fu;
+    } else if (lead >= 0x80) {
+      return false;
+    }
+    if (i + more >= s.size()) return false;
+    for (std::size_t k = 1; k <= more; ++k) {
+      const auto c = static_cast<unsigned char>(s[i + k]);
+      if ((c & 0xc0u) != 0x80u) return false;
+      code = (code << 6u) | (c & 0x3fu);
+    }
+    if ((more == 2 && code < 0x800) || (more == 3 && (code < 0x10000 || code > 0x10ffff))) return false;
+    if (code >= 0xd800 && code <= 0xdfff) return false;
+    i += more + 1;
+  }
+  return true;
+}
+
+/// Builds a Value from libcbor's stream of events, so that no second tree is held in memory.
+class Builder {
+ public:
+  bool failed = false;
+  bool done() const { return finished_; }
+  Value take() { return std::move(root_); }
+
+  void scalar(Value v) {
+    if (!open_.empty() && open_.back().kind == Kind::chunks) {
+      failed = true;
+      return;
+    }
+    add(std::move(v));
+  }
+
+  void text(std::string_view s) {
+    if (!open_.empty() && open_.back().kind == Kind::chunks) {
+      if (!valid_utf8(s)) failed = true;
+      open_.back().key.append(s);
+      return;
+    }
+    if (!valid_utf8(s)) {
+      failed = true;
+      return;
+    }
+    add(Value(s));
+  }
+
+  enum class Kind { list, map, chunks };
+  void begin(Kind kind, std::optional<std::uint64_t> size) {
+    if (open_.size() >= kMaxDepth || (!open_.empty() && open_.back().kind == Kind::chunks) ||
+        (kind != Kind::list && kind != Kind::map && size)) {
+      failed = true;
+      return;
+    }
+    // A container may not be a key.
+    if (kind != Kind::chunks && !open_.empty() && open_.back().kind == Kind::map && !open_.back().has_key) {
+      failed = true;
+      return;
+    }
+    open_.push_back(Frame{kind, size, {}, {}, {}, false});
+    if (size && *size == 0) close();
+  }
+
+  void end() {
+    if (open_.empty() || open_.back().left || open_.back().has_key) {
+      failed = true;
+      return;
+    }
+    close();
+  }
+
+ private:
+  struct Frame {
+    Kind kind;
+    std::optional<std::uint64_t> left;
+    Value::List items;
+    Value::Map fields;
+    std::string key;
+    bool has_key;
+  };
+
+  void close() {
+    Frame f = std::move(open_.back());
+    open_.pop_back();
+    switch (f.kind) {
+      case Kind::list:
+        add(Value(std::move(f.items)));
+        break;
+      case Kind::map:
+        add(Value(std::move(f.fields)));
+        break;
+      case Kind::chunks:
+        add(Value(std::move(f.key)));
+        break;
+    }
+  }
+
+  void add(Value v) {
+    if (open_.empty()) {
+      if (finished_) failed = true;
+      root_ = std::move(v);
+      finished_ = true;
+      return;
+    }
+    Frame& f = open_.back();
+    if (f.kind == Kind::map) {
+      if (!f.has_key) {
+        if (v.text() == nullptr) {
+          failed = true;
+          return;
+        }
+        f.key = *v.text();
+        f.has_key = true;
+        return;
+      }
+      f.fields.emplace_back(std::move(f.key), std::move(v));
+      f.key.clear();
+      f.has_key = false;
+    } else {
+      f.items.push_back(std::move(v));
+    }
+    if (f.left && --*f.left == 0) close();
+  }
+
+  std::vector<Frame> open_;
+  Value root_;
+  bool finished_ = false;
+};
+
+Builder& builder(void* ctx) { return *static_cast<Builder*>(ctx); }
+
+cbor_callbacks make_callbacks() {
+  cbor_callbacks c = cbor_empty_callbacks;
+  c.uint8 = [](void* x, std::uint8_t n) { builder(x).scalar(std::uint64_t{n}); };
+  c.uint16 = [](void* x, std::uint16_t n) { builder(x).scalar(std::uint64_t{n}); };
+  c.uint32 = [](void* x, std::uint32_t n) { builder(x).scalar(std::uint64_t{n}); };
+  c.uint64 = [](void* x, std::uint64_t n) { builder(x).scalar(n); };
+  c.negint8 = [](void* x, std::uint8_t n) { builder(x).scalar(-1 - std::int64_t{n}); };
+  c.negint16 = [](void* x, std::uint16_t n) { builder(x).scalar(-1 - std::int64_t{n}); };
+  c.negint32 = [](void* x, std::uint32_t n) { builder(x).scalar(-1 - std::int64_t{n}); };
+  c.negint64 = [](void* x, std::uint64_t n) {
+    if (n > static_cast<std::uint64_t>(INT64_MAX)) {
+      builder(x).scalar(-1.0 - static_cast<double>(n));
+    } else {
+      builder(x).scalar(-1 - static_cast<std::int64_t>(n));
+    }
+  };
+  c.string = [](void* x, cbor_data d, size_t n) {
+    builder(x).text(std::string_view(reinterpret_cast<const char*>(d), n));
+  };
+  c.string_start = [](void* x) { builder(x).begin(Builder::Kind::chunks, std::nullopt); };
+  c.byte_string = [](void* x, cbor_data, size_t) { builder(x).failed = true; };
+  c.byte_string_start = [](void* x) { builder(x).failed = true; };
+  c.array_start = [](void* x, size_t n) { builder(x).begin(Builder::Kind::list, n); };
+  c.indef_array_start = [](void* x) { builder(x).begin(Builder::Kind::list, std::nullopt); };
+  c.map_start = [](void* x, size_t n) { builder(x).begin(Builder::Kind::map, n); };
+  c.indef_map_start = [](void* x) { builder(x).begin(Builder::Kind::map, std::nullopt); };
+  c.tag = [](void* x, std::uint64_t) { builder(x).failed = true; };
+  c.float2 = [](void* x, float f) { builder(x).scalar(static_cast<double>(f)); };
+  c.float4 = [](void* x, float f) { builder(x).scalar(static_cast<double>(f)); };
+  c.float8 = [](void* x, double f) { builder(x).scalar(f); };
+  c.null = [](void* x) { builder(x).scalar(nullptr); };
+  c.undefined = [](void* x) { builder(x).failed = true; };
+  c.boolean = [](void* x, bool b) { builder(x).scalar(b); };
+  c.indef_break = [](void* x) { builder(x).end(); };
+  return c;
+}
+
+const cbor_callbacks kCallbacks = make_callbacks();
+
+std::size_t json_text_size(const std::string& s) {
+  std::size_t n = 2;
+  for (const char c : s) {
+    const auto u = static_cast<unsigned char>(c);
+    n += (u < 0x20) ? 6 : (c == '"' || c == '\\') ? 2 : 1;
+  }
+  return n;
+}
+
+template <typename Encoder, typename... Args>
+void put(std::string& out, Encoder encoder, Args... args) {
+  unsigned char buf[16];
+  const std::size_t n = encoder(args..., buf, sizeof buf);
+  out.append(reinterpret_cast<const char*>(buf), n);
+}
+
+}  // namespace
+
+std::optional<bool> Value::boolean() const {
+  if (const bool* b = std::get_if<bool>(&data_)) return *b;
+  return std::nullopt;
+}
+
+std::optional<double> Value::number() const {
+  if (const auto* u = std::get_if<std::uint64_t>(&data_)) return static_cast<double>(*u);
+  if (const auto* i = std::get_if<std::int64_t>(&data_)) return static_cast<double>(*i);
+  if (const auto* d = std::get_if<double>(&data_); d != nullptr && std::isfinite(*d)) return *d;
+  return std::nullopt;
+}
+
+std::optional<std::uint64_t> Value::count() const {
+  if (const auto* u = std::get_if<std::uint64_t>(&data_)) return *u;
+  if (const auto* d = std::get_if<double>(&data_)) {
+    if (std::isfinite(*d) && *d >= 0 && *d < 18446744073709551616.0 && std::floor(*d) == *d) {
+      return static_cast<std::uint64_t>(*d);
+    }
+  }
+  return std::nullopt;
+}
+
+const Value& Value::operator[](std::string_view key) const {
+  if (const Map* m = map()) {
+    for (const Field& f : *m) {
+      if (f.first == key) return f.second;
+    }
+  }
+  return kNull;
+}
+
+std::size_t Value::json_size() const {
+  struct Sizer {
+    std::size_t operator()(std::nullptr_t) const { return 4; }
+    std::size_t operator()(bool b) const { return b ? 4 : 5; }
+    std::size_t operator()(std::uint64_t n) const { return std::to_string(n).size(); }
+    std::size_t operator()(std::int64_t n) const { return std::to_string(n).size(); }
+    std::size_t operator()(double) const { return 24; }  // the longest form a double takes
+    std::size_t operator()(const std::string& s) const { return json_text_size(s); }
+    std::size_t operator()(const List& l) const {
+      std::size_t n = 2;
+      for (const Value& v : l) n += v.json_size() + 1;
+      return n;
+    }
+    std::size_t operator()(const Map& m) const {
+      std::size_t n = 2;
+      for (const Field& f : m) n += json_text_size(f.first) + 2 + f.second.json_size();
+      return n;
+    }
+  };
+  return std::visit(Sizer{}, data_);
+}
+
+void encode_into(const Value& v, std::string& out) {
+  struct Writer {
+    std::string& out;
+    void operator()(std::nullptr_t) const { put(out, cbor_encode_null); }
+    void operator()(bool b) const { put(out, cbor_encode_bool, b); }
+    void operator()(std::uint64_t n) const { put(out, cbor_encode_uint, n); }
+    void operator()(std::int64_t n) const { put(out, cbor_encode_negint, static_cast<std::uint64_t>(-1 - n)); }
+    void operator()(double d) const { put(out, cbor_encode_double, d); }
+    void operator()(const std::string& s) const {
+      put(out, cbor_encode_string_start, s.size());
+      out += s;
+    }
+    void operator()(const Value::List& l) const {
+      put(out, cbor_encode_array_start, l.size());
+      for (const Value& item : l) encode_into(item, out);
+    }
+    void operator()(const Value::Map& m) const {
+      put(out, cbor_encode_map_start, m.size());
+      for (const auto& [key, item] : m) {
+        (*this)(key);
+        encode_into(item, out);
+      }
+    }
+  };
+  std::visit(Writer{out}, v.data_);
+}
+
+std::string encode(const Value& v) {
+  std::string out;
+  encode_into(v, out);
+  return out;
+}
+
+std::optional<Value> decode(std::string_view bytes) {
+  Builder b;
+  while (!bytes.empty()) {
+    if (b.done()) return std::nullopt;
+    const cbor_decoder_result r =
+        cbor_stream_decode(reinterpret_cast<cbor_data>(bytes.data()), bytes.size(), &kCallbacks, &b);
+    if (r.status != CBOR_DECODER_FINISHED || b.failed) return std::nullopt;
+    bytes.remove_prefix(r.read);
+  }
+  if (!b.done() || b.failed) return std::nullopt;
+  return b.take();
+}
+
+}  // namespace wrenusher
