--- /dev/null
+++ b/tests/planner_test.cpp
@@ -0,0 +1,154 @@
+// Rank, order and place as pure functions.
+
+#include "wrenusher/planner.hpp"
+
+#include <gtest/gtest.h>
+#include <rapidcheck.h>
+
+#include <memory>
+
+using namespace wrenusher;
+using namespace wrenusher::planner;
+
+namespace {
+
+/// A small deployment to plan in: two types in two zones and a few teams.
+struct World {
+  Settings settings;
+  Flavor small{"small", {to_amount(16), 0, to_amount(64)}, 30, 0.5, 1, 0.3, from_seconds(20), {"a", "b"}};
+  Flavor large{"large", {to_amount(64), to_amount(4), to_amount(256)}, 30, 0.5, 4, 1, from_seconds(30), {"a"}};
+  std::vector<std::unique_ptr<JobSpec>> specs;
+  std::map<std::string, std::uint64_t> cached{{"hot", 1}};
+  Snapshot s;
+
+  World() {
+    settings.teams = {{"red", 32, 64, 0, 0}, {"blue", 0, 0, 0, 0}};
+    s.settings = &settings;
+  }
+  JobSpec& job(const std::string& owner, std::uint32_t units, double cores, double estimate) {
+    auto spec = std::make_unique<JobSpec>();
+    spec->ref = "req-" + std::to_string(100 + specs.size());
+    spec->owner = owner;
+    spec->units = units;
+    spec->needs = {to_amount(cores), 0, to_amount(1)};
+    spec->bundle = "cold";
+    spec->image_gb = 5;
+    spec->standby = true;
+    specs.push_back(std::move(spec));
+    PlanJob j;
+    j.spec = specs.back().get();
+    j.waiting = units;
+    j.estimate = from_seconds(estimate);
+    s.jobs.push_back(j);
+    return *specs.back();
+  }
+  PlanHost& host(const Flavor& f, const std::string& site) {
+    PlanHost h;
+    h.name = "m-" + std::to_string(s.hosts.size());
+    h.site = site;
+    h.flavor = &f;
+    h.standby = true;
+    h.room = f.room;
+    s.hosts.push_back(h);
+    return s.hosts.back();
+  }
+};
+
+}  // namespace
+
+TEST(Planner, ServesByUrgencyThenGuaranteeThenFallingRank) {
+  World w;
+  w.job("blue", 1, 1, 500);                             // 0: beyond any guarantee
+  w.job("red", 1, 1, 10);                               // 1: within the guarantee
+  w.job("red", 1, 1, 90);                               // 2: likewise, higher rank
+  w.job("blue", 1, 1, 1).urgency = Urgency::high;       // 3: urgent
+  EXPECT_EQ(order(w.s), (std::vector<std::size_t>{3, 2, 1, 0}));
+}
+
+TEST(Planner, TakesTheLeastFinishWithFetchIncluded) {
+  World w;
+  w.job("blue", 1, 4, 60).bundle = "hot";
+  w.host(w.small, "a");
+  w.host(w.small, "a").images = &w.cached;
+  const Plan p = place(w.s);
+  ASSERT_EQ(p.placements.size(), 1U);
+  EXPECT_EQ(p.placements[0].host, 1U);
+}
+
+TEST(Planner, WaitsWhereThereIsNoRoomAndSaysSo) {
+  World w;
+  w.job("blue", 6, 4, 60);
+  w.host(w.small, "a");
+  const Plan p = place(w.s);
+  ASSERT_EQ(p.shortages.size(), 1U);
+  EXPECT_EQ(p.shortages[0].tasks, 2U);
+}
+
+TEST(Planner, CountsNoShortageBeyondTheTeamsCeiling) {
+  World w;
+  w.job("red", 40, 4, 60);  // 64 cores allow 16 tasks
+  w.host(w.small, "a");
+  const Plan p = place(w.s);
+  ASSERT_EQ(p.shortages.size(), 1U);
+  EXPECT_EQ(p.shortages[0].tasks, 12U);
+}
+
+TEST(Planner, PlacesAGangWholeOrNotAtAll) {
+  World w;
+  w.job("blue", 5, 8, 60).shape = Shape::gang;
+  w.host(w.small, "a");
+  w.host(w.small, "b");
+  EXPECT_TRUE(place(w.s).placements.empty());
+  w.host(w.small, "b");
+  std::uint32_t n = 0;
+  for (const Placement& p : place(w.s).placements) n += p.tasks;
+  EXPECT_EQ(n, 5U);
+}
+
+TEST(Planner, NeverBreaksARulePlacingAnything) {
+  EXPECT_TRUE(rc::check([] {
+    World w;
+    const int jobs = *rc::gen::inRange(1, 8);
+    for (int i = 0; i < jobs; ++i) {
+      JobSpec& j = w.job(*rc::gen::element<std::string>("red", "blue"), *rc::gen::inRange(1U, 12U),
+                         *rc::gen::element(1.0, 4.0, 16.0, 33.3), 30);
+      j.shape = *rc::gen::element(Shape::sweep, Shape::gang, Shape::daemon);
+      j.same_place = *rc::gen::arbitrary<bool>();
+      j.scatter = !j.same_place && *rc::gen::arbitrary<bool>();
+      j.standby = *rc::gen::arbitrary<bool>();
+      if (*rc::gen::arbitrary<bool>()) j.flavors = {"small"};
+      if (*rc::gen::arbitrary<bool>()) j.site = "b";
+    }
+    const int hosts = *rc::gen::inRange(0, 6);
+    for (int i = 0; i < hosts; ++i) {
+      PlanHost& h = w.host(*rc::gen::arbitrary<bool>() ? w.small : w.large, *rc::gen::element<std::string>("a", "b"));
+      h.standby = *rc::gen::arbitrary<bool>();
+    }
+    w.s.teams["red"].used.cores = to_amount(*rc::gen::element(0.0, 40.0, 64.0));
+    const Plan p = place(w.s);
+    std::vector<Needs> used(w.s.hosts.size());
+    std::map<std::size_t, std::map<std::string, std::uint32_t>> zones;
+    std::map<std::size_t, std::uint32_t> placed;
+    Needs red = w.s.teams["red"].used;
+    for (const Placement& x : p.placements) {
+      const JobSpec& spec = *w.s.jobs[x.job].spec;
+      const PlanHost& h = w.s.hosts[x.host];
+      RC_ASSERT(spec.allows(h.flavor->name, h.site, h.standby));
+      used[x.host] += spec.needs * x.tasks;
+      zones[x.job][h.site] += x.tasks;
+      placed[x.job] += x.tasks;
+      if (spec.owner == "red") red += spec.needs * x.tasks;
+    }
+    RC_ASSERT(red.cores <= to_amount(64));
+    for (std::size_t h = 0; h < used.size(); ++h) RC_ASSERT(used[h].fits(w.s.hosts[h].room));
+    for (const auto& [j, by_zone] : zones) {
+      const JobSpec& spec = *w.s.jobs[j].spec;
+      RC_ASSERT(!spec.same_place || by_zone.size() == 1U);
+      for (const auto& [z, n] : by_zone) {
+        RC_ASSERT(!spec.scatter || n <= (spec.units + 1) / 2);
+      }
+      RC_ASSERT(spec.shape != Shape::gang || placed[j] == spec.units);
+      RC_ASSERT(placed[j] <= spec.units);
+    }
+  }));
+}
