Keep scarce machine types for the jobs that fit nowhere else

Ruled out: rank order and slow rounds (placement follows room within 0.3 s). Change: a type that some job cannot do without is left to such jobs, as long as another type can still be had and the job has not waited longer than such a machine takes to boot. Also: machines given back no longer come back from the lagging list.

--- a/include/wrenusher/ledger.hpp
+++ b/include/wrenusher/ledger.hpp
@@ -21,12 +21,18 @@
   std::string why;
 };
 
+/// Machine types of which the cloud has none to give at present.
+struct CapacitySeen {
+  std::set<std::string> exhausted;
+};
+
 /// What the provisioner needs to know, once a round at most.
 struct Workload {
   struct Demand {
     JobSpec spec;
     std::uint32_t tasks = 0;
     Micros estimate{};
+    std::set<std::string> keep_off;  ///< types booked for jobs that fit nowhere else
   };
   struct HostLoad {
     std::string host;
@@ -53,6 +59,7 @@
   void on_condemned(const HostCondemned& c);
   void on_catalog(const CatalogSeen& c) { catalog_ = c.catalog; }
   void on_withdrawn(const JobWithdrawn& w);
+  void on_capacity(const CapacitySeen& c) { exhausted_ = c.exhausted; }
 
   Sink<Workload> workload;
   Sink<DirectOrders> direct;
@@ -150,6 +157,8 @@
   void tick();
   void round();
   void plan();
+  void see_sought();
+  std::set<std::string> keep_off(const Job& job, WallTime now) const;
   void flush();
   bool add_final(const std::string& ref, Job& job, std::vector<Condition>& when, std::vector<Change>& apply,
                  Pending& pending);
@@ -175,6 +184,9 @@
   std::set<std::string> dirty_;
   std::vector<std::string> leftovers_;  ///< blocks of jobs that are over
   std::map<std::string, planner::TeamUse> teams_;
+  std::set<std::string> exhausted_;
+  /// Types that some job needs because it fits no other: until when they are kept for such jobs.
+  std::map<std::string, Instant> sought_until_;
 };
 
 }  // namespace wrenusher
--- a/include/wrenusher/planner.hpp
+++ b/include/wrenusher/planner.hpp
@@ -2,6 +2,7 @@
 // Pure functions: a snapshot in, decisions out. Rank, order and place are the paper's (section IV.B).
 
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -19,6 +20,8 @@
   std::map<std::string, std::uint32_t> zones;
   /// Machines that the job keeps off for now.
   const std::map<std::string, Instant>* avoid = nullptr;
+  /// Types whose room is booked for jobs that fit nowhere else.
+  std::set<std::string> keep_off;
 };
 
 struct PlanHost {
@@ -70,6 +73,8 @@
 Micros fetch_time(const PlanHost& host, const JobSpec& spec);
 /// Equation (5): when a task started now on this machine would end, counted from now.
 Micros finish_time(const PlanHost& host, const PlanJob& job);
+/// The types on which a task of the job could run at all.
+std::set<std::string> fitting_flavors(const JobSpec& spec, const Catalog& catalog);
 /// The jobs in the order in which they are served.
 std::vector<std::size_t> order(const Snapshot& s);
 Plan place(Snapshot s);
--- a/include/wrenusher/provisioner.hpp
+++ b/include/wrenusher/provisioner.hpp
@@ -23,6 +23,7 @@
   Sink<CatalogSeen> catalog_seen;
   Sink<HostCondemned> condemned;
   Sink<HostGone> gone;
+  Sink<CapacitySeen> capacity;
 
  private:
   struct Machine {
@@ -69,6 +70,8 @@
   void send_return();
   void review();
   void plan_rentals();
+  bool refused(const Kind& kind) const;
+  void tell_capacity();
 
   Runtime& rt_;
   const Settings& settings_;
@@ -93,6 +96,7 @@
   std::map<Kind, Instant> refused_until_;
   std::map<std::string, Machine> machines_;
   std::set<std::string> to_return_;
+  std::set<std::string> gone_;  ///< given back in this term
   Workload load_;
 };
 
--- a/src/controller.cpp
+++ b/src/controller.cpp
@@ -53,6 +53,7 @@
   wire(rt, provisioner_.catalog_seen, frontdesk_, &Frontdesk::on_catalog);
   wire(rt, provisioner_.catalog_seen, ledger_, &Ledger::on_catalog);
   wire(rt, provisioner_.condemned, ledger_, &Ledger::on_condemned);
+  wire(rt, provisioner_.capacity, ledger_, &Ledger::on_capacity);
   wire(rt, provisioner_.gone, ledger_, &Ledger::on_gone);
   wire(rt, provisioner_.gone, fleet_, &Fleet::on_gone);
 }
--- a/src/ledger.cpp
+++ b/src/ledger.cpp
@@ -19,6 +19,8 @@
 constexpr std::size_t kErrorHosts = 3;
 constexpr Micros kNoRoomPause = from_seconds(3);
 constexpr int kPublishEvery = 2;
+/// A type that some job could not do without is kept for such jobs this long after the last one was seen.
+constexpr Micros kSoughtMemory = from_seconds(300);
 
 }  // namespace
 
@@ -519,8 +521,35 @@
   flush();
 }
 
+void Ledger::see_sought() {
+  const Instant until = rt_.now() + kSoughtMemory;
+  for (const auto& [ref, job] : jobs_) {
+    if (job.rec.withdrawn || job.waiting.empty()) continue;
+    const auto fitting = planner::fitting_flavors(job.rec.spec, *catalog_);
+    if (fitting.size() == 1) sought_until_[*fitting.begin()] = until;
+  }
+}
+
+/// The types that the job leaves to others: those that some jobs need, as long as it has another one that the
+/// cloud still gives, and has not waited for longer than such a machine takes to come.
+std::set<std::string> Ledger::keep_off(const Job& job, WallTime now) const {
+  std::set<std::string> sought;
+  Micros patience{0};
+  for (const std::string& name : planner::fitting_flavors(job.rec.spec, *catalog_)) {
+    const auto it = sought_until_.find(name);
+    if (it != sought_until_.end() && rt_.now() < it->second) {
+      sought.insert(name);
+    } else if (!exhausted_.contains(name)) {
+      patience = std::max(patience, catalog_->at(name).boot);
+    }
+  }
+  if (now - job.rec.accepted >= patience) sought.clear();
+  return sought;
+}
+
 void Ledger::plan() {
   if (!catalog_) return;
+  see_sought();
   planner::Snapshot s;
   s.now = rt_.wall();
   s.clock = rt_.now();
@@ -537,6 +566,7 @@
     p.estimate = estimator_.estimate(spec);
     p.accepted = job.rec.accepted;
     p.avoid = &job.avoid;
+    p.keep_off = keep_off(job, s.now);
     bool zones_known = true;
     if (spec.same_place || spec.scatter) {
       for (const auto& [task, c] : job.claims) {
@@ -593,7 +623,8 @@
   if (++publish_count_ % kPublishEvery != 0) return;
   Workload w;
   for (const planner::Shortage& sh : p.shortages) {
-    w.demands.push_back({*s.jobs[sh.job].spec, sh.tasks, s.jobs[sh.job].estimate});
+    const planner::PlanJob& j = s.jobs[sh.job];
+    w.demands.push_back({*j.spec, sh.tasks, j.estimate, j.keep_off});
   }
   for (const auto& [name, m] : machines_) {
     w.hosts.push_back({name, m.flavor, m.site, m.standby,
--- a/src/planner.cpp
+++ b/src/planner.cpp
@@ -70,6 +70,17 @@
   return allowed;
 }
 
+std::set<std::string> fitting_flavors(const JobSpec& spec, const Catalog& catalog) {
+  std::set<std::string> out;
+  for (const auto& [name, f] : catalog) {
+    if (!spec.needs.fits(f.room)) continue;
+    if (std::any_of(f.sites.begin(), f.sites.end(), [&](const std::string& z) { return spec.allows(name, z, false); })) {
+      out.insert(name);
+    }
+  }
+  return out;
+}
+
 Micros rank(const PlanJob& job) { return job.estimate; }
 
 Micros fetch_time(const PlanHost& host, const JobSpec& spec) {
@@ -131,7 +142,7 @@
     std::vector<Candidate> candidates;
     for (std::size_t h = 0; h < s.hosts.size(); ++h) {
       const PlanHost& host = s.hosts[h];
-      if (!spec.allows(host.flavor->name, host.site, host.standby)) continue;
+      if (!spec.allows(host.flavor->name, host.site, host.standby) || job.keep_off.contains(host.flavor->name)) continue;
       if (job.avoid != nullptr) {
         const auto it = job.avoid->find(host.name);
         if (it != job.avoid->end() && s.clock < it->second) continue;
--- a/src/provisioner.cpp
+++ b/src/provisioner.cpp
@@ -35,6 +35,7 @@
   refused_until_.clear();
   machines_.clear();
   to_return_.clear();
+  gone_.clear();
   load_ = {};
   listing_ = returning_ = false;
   bookings_made_ = 0;
@@ -192,7 +193,8 @@
 }
 
 void Provisioner::take_rental(const Rental& r) {
-  if (to_return_.contains(r.ref)) return;
+  // The list lags: what was given back may still be in it.
+  if (to_return_.contains(r.ref) || gone_.contains(r.ref)) return;
   const bool added = !machines_.contains(r.ref);
   Machine& m = know(r.ref);
   m.flavor = r.flavor;
@@ -297,6 +299,7 @@
           for (const std::string& h : names) {
             to_return_.erase(h);
             machines_.erase(h);
+            gone_.insert(h);
             gone(HostGone{h});
           }
         });
@@ -344,8 +347,25 @@
   send_return();
 }
 
+bool Provisioner::refused(const Kind& kind) const {
+  const auto it = refused_until_.find(kind);
+  return it != refused_until_.end() && rt_.now() < it->second;
+}
+
+void Provisioner::tell_capacity() {
+  CapacitySeen seen;
+  for (const auto& [name, f] : *catalog_) {
+    const bool some = std::any_of(f.sites.begin(), f.sites.end(), [&, type = name](const std::string& site) {
+      return !refused({type, site, true}) || !refused({type, site, false});
+    });
+    if (!some) seen.exhausted.insert(name);
+  }
+  capacity(seen);
+}
+
 void Provisioner::plan_rentals() {
   const Instant now = rt_.now();
+  if (catalog_) tell_capacity();
   if (!catalog_ || now < rent_not_before_) return;
   struct Bin {
     Kind kind;
@@ -366,7 +386,10 @@
   for (const Workload::Demand& d : load_.demands) {
     std::uint32_t left = d.tasks;
     const auto fill = [&](Bin& bin) {
-      if (left == 0 || !d.spec.allows(bin.kind.flavor, bin.kind.site, bin.kind.standby)) return;
+      if (left == 0 || !d.spec.allows(bin.kind.flavor, bin.kind.site, bin.kind.standby) ||
+          d.keep_off.contains(bin.kind.flavor)) {
+        return;
+      }
       const std::uint32_t n = planner::count_fitting(d.spec.needs, bin.room, left);
       bin.room -= d.spec.needs * n;
       left -= n;
@@ -380,14 +403,14 @@
       Kind best_kind;
       for (const auto& [name, f] : *catalog_) {
         const std::uint32_t per = planner::count_fitting(d.spec.needs, f.room, left);
-        if (per == 0) continue;
+        if (per == 0 || d.keep_off.contains(name)) continue;
         const double run = to_seconds(d.estimate);
         const double hold = to_seconds(f.boot) + d.spec.image_gb / f.pull_gb_per_s + run;
         for (const std::string& site : f.sites) {
           for (const bool standby : {true, false}) {
             kind = {name, site, standby};
             if (!d.spec.allows(name, site, standby)) continue;
-            if (const auto it = refused_until_.find(kind); it != refused_until_.end() && now < it->second) continue;
+            if (refused(kind)) continue;
             const double cost = (standby ? f.low_price : f.rate) * hold / per;
             if (cost < best_cost) {
               best_cost = cost;
