--- /dev/null
+++ b/tests/standins/checker.hpp
@@ -0,0 +1,60 @@
+#pragma once
+// Watches a simulated day and names every rule of the protocol that is broken.
+
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "wrenusher/messages.hpp"
+#include "wrenusher/settings.hpp"
+
+namespace standins {
+
+using namespace wrenusher;
+
+class Checker {
+ public:
+  explicit Checker(const Settings& settings) : settings_(settings) {}
+
+  void submitted(const JobSpec& spec) { specs_.emplace(spec.ref, spec); }
+  void answered_submit(Instant now, const std::string& ref, int status);
+  void asked_withdraw(const std::string& ref) { asked_.insert(ref); }
+  void answered_withdraw(Instant now, const std::string& ref, int status, const std::string& state);
+  void answered_poll(Instant now, const std::string& ref, int status, const std::string& state);
+
+  /// A task is on its machine from the moment it has its image until it exits or the machine is gone.
+  void started(Instant now, const std::string& ref, std::uint32_t task, const std::string& host,
+               const std::string& flavor, const std::string& site, bool standby);
+  void left(const std::string& ref, std::uint32_t task, const std::string& host);
+  void completed(const std::string& ref, std::uint32_t task) { completed_[ref].insert(task); }
+  /// To be called now and then: finds what lasts too long.
+  void look(Instant now);
+
+  const std::set<std::string>& broken() const { return broken_; }
+  const std::vector<std::string>& notes() const { return notes_; }
+  std::size_t starts() const { return starts_; }
+  bool accepted(const std::string& ref) const { return accepted_.contains(ref); }
+
+ private:
+  struct On {
+    std::string host;
+    std::string site;
+  };
+  void breaks(const std::string& rule, const std::string& note);
+  void final_state(Instant now, const std::string& ref, const std::string& state);
+
+  const Settings& settings_;
+  std::map<std::string, JobSpec> specs_;
+  std::set<std::string> accepted_;
+  std::set<std::string> asked_;
+  std::map<std::string, std::string> final_;
+  std::map<std::string, Instant> cancelled_at_;
+  std::map<std::string, std::set<std::uint32_t>> completed_;
+  std::map<std::pair<std::string, std::uint32_t>, std::vector<On>> on_;
+  std::set<std::string> broken_;
+  std::vector<std::string> notes_;
+  std::size_t starts_ = 0;
+};
+
+}  // namespace standins
--- /dev/null
+++ b/tests/world_test.cpp
@@ -0,0 +1,277 @@
+// Whole controllers in simulated time: ordinary days, every trouble of the brief, and random mixtures of them.
+
+#include <gtest/gtest.h>
+#include <spdlog/spdlog.h>
+
+#include "standins/world.hpp"
+
+using namespace standins;
+
+namespace {
+
+std::string notes(const World& w) {
+  std::string out;
+  for (const std::string& n : w.checker.notes()) out += n + "\n";
+  return out;
+}
+
+void expect_kept(const World& w) { EXPECT_TRUE(w.checker.broken().empty()) << notes(w); }
+
+/// A few jobs over the first minute, so that something runs when a trouble comes.
+void ordinary_load(World& w, int jobs = 10) {
+  for (int i = 0; i < jobs; ++i) {
+    JobSpec s = World::job(i, 1 + static_cast<std::uint32_t>(w.pick(8)), 4, w.uniform(5, 30));
+    if (i % 4 == 3) s.needs.cores = to_amount(32);
+    if (i % 5 == 4) s.snapshot_every = from_seconds(5), s.snapshot = from_seconds(2);
+    w.at(from_seconds(w.uniform(0, 60)), [&w, s] { w.submit(s); });
+  }
+}
+
+struct Trouble {
+  const char* name;
+  std::function<void(World&)> strike;
+};
+
+void random_host(World& w, const std::function<void(const std::string&)>& f) {
+  const auto hosts = w.hosts();
+  if (!hosts.empty()) f(hosts[static_cast<std::size_t>(w.pick(static_cast<int>(hosts.size())))]);
+}
+
+std::vector<Trouble> troubles() {
+  return {
+      {"state_outage", [](World& w) {
+         w.state_outage(true);
+         w.at(from_seconds(20), [&w] { w.state_outage(false); });
+       }},
+      {"state_refuses_one", [](World& w) {
+         const int c = w.pick(3);
+         w.state_refuses(c, true);
+         w.at(from_seconds(25), [&w, c] { w.state_refuses(c, false); });
+       }},
+      {"cloud_outage", [](World& w) {
+         w.cloud_outage(true);
+         w.at(from_seconds(30), [&w] { w.cloud_outage(false); });
+       }},
+      {"one_crash", [](World& w) { w.crash(w.pick(3), from_seconds(3)); }},
+      {"all_crash", [](World& w) {
+         for (int i = 0; i < 3; ++i) w.crash(i, from_seconds(3));
+       }},
+      {"rolling_restart", [](World& w) {
+         for (int i = 0; i < 3; ++i) w.at(from_seconds(8 * i), [&w, i] { w.crash(i, from_seconds(3)); });
+       }},
+      {"controller_cut_hold", [](World& w) {
+         w.isolate("c" + std::to_string(w.pick(3)), Cut::hold);
+         w.at(from_seconds(25), [&w] { w.heal(); });
+       }},
+      {"controller_cut_reset", [](World& w) {
+         w.isolate("c" + std::to_string(w.pick(3)), Cut::reset);
+         w.at(from_seconds(25), [&w] { w.heal(); });
+       }},
+      {"controller_cut_but_for_the_store", [](World& w) {
+         w.isolate("c" + std::to_string(w.pick(3)), Cut::hold, {"state"});
+         w.at(from_seconds(25), [&w] { w.heal(); });
+       }},
+      {"controller_cut_from_the_store", [](World& w) {
+         w.cut("c" + std::to_string(w.pick(3)), "state", Cut::hold);
+         w.at(from_seconds(25), [&w] { w.heal(); });
+       }},
+      {"machine_dies", [](World& w) { random_host(w, [&](const std::string& h) { w.die(h); }); }},
+      {"machine_hangs", [](World& w) {
+         random_host(w, [&](const std::string& h) { w.hang(h, from_seconds(w.uniform(2, 30))); });
+       }},
+      {"spot_wave", [](World& w) {
+         for (const std::string& h : w.hosts()) {
+           if (w.pick(2) == 0) w.take(h, from_seconds(w.pick(4) == 0 ? 0 : 8));
+         }
+       }},
+      {"faulty_machine", [](World& w) { random_host(w, [&](const std::string& h) { w.fails_on(h); }); }},
+  };
+}
+
+}  // namespace
+
+TEST(Day, AQuietDayFinishesEveryJob) {
+  World w(1);
+  ordinary_load(w);
+  w.run(from_seconds(240));
+  expect_kept(w);
+  EXPECT_EQ(w.live(), 0U);
+  EXPECT_GT(w.checker.starts(), 10U);
+}
+
+TEST(Day, EachTroubleAloneBreaksNoRuleAndLosesNoJob) {
+  for (const Trouble& t : troubles()) {
+    for (std::uint64_t seed = 1; seed <= 3; ++seed) {
+      World w(seed);
+      ordinary_load(w);
+      w.at(from_seconds(40), [&] { t.strike(w); });
+      w.run(from_seconds(400));
+      EXPECT_TRUE(w.checker.broken().empty()) << t.name << " with seed " << seed << "\n" << notes(w);
+      EXPECT_EQ(w.live(), 0U) << t.name << " with seed " << seed;
+    }
+  }
+}
+
+TEST(Day, TroublesTogetherBreakNoRuleAndLoseNoJob) {
+  const auto all = troubles();
+  for (std::uint64_t seed = 100; seed < 125; ++seed) {
+    World w(seed);
+    ordinary_load(w, 14);
+    for (int i = 0; i < 14; i += 5) {
+      w.at(from_seconds(w.uniform(20, 90)), [&w, i] { w.withdraw(World::job(i, 1, 1, 1).ref); });
+    }
+    JobSpec gang = World::job(50, 5, 8, 15);
+    gang.shape = Shape::gang;
+    gang.same_place = seed % 2 == 0;
+    w.at(from_seconds(15), [&w, gang] { w.submit(gang); });
+    JobSpec daemon = World::job(51, 3, 4, 0);
+    daemon.shape = Shape::daemon;
+    daemon.scatter = true;
+    w.at(from_seconds(10), [&w, daemon] { w.submit(daemon); });
+    for (int i = 0; i < 5; ++i) {
+      const Trouble& t = all[static_cast<std::size_t>(w.pick(static_cast<int>(all.size())))];
+      w.at(from_seconds(w.uniform(20, 110)), [&w, &t] { t.strike(w); });
+    }
+    w.at(from_seconds(300), [&w, daemon] { w.withdraw(daemon.ref); });
+    w.run(from_seconds(600));
+    EXPECT_TRUE(w.checker.broken().empty()) << "seed " << seed << "\n" << notes(w);
+    EXPECT_EQ(w.live(), 0U) << "seed " << seed;
+  }
+}
+
+TEST(Day, AJobThatFailsEverywhereDoesNotCostTheMachines) {
+  World w(7);
+  JobSpec bad = World::job(1, 4, 4, 10);
+  w.fails_everywhere(bad.ref);
+  w.submit(bad);
+  ordinary_load(w, 6);
+  w.run(from_seconds(150));
+  expect_kept(w);
+  EXPECT_FALSE(w.hosts().empty());
+  w.withdraw(bad.ref);
+  w.run(from_seconds(120));
+  expect_kept(w);
+  EXPECT_EQ(w.live(), 0U);
+}
+
+TEST(Day, AWithdrawnJobIsGoneInTimeThoughTheStoreFailsAtOnce) {
+  // The user is told, then nobody can read it from the state service: the controllers tell one another.
+  World w(9);
+  const JobSpec s = World::job(2, 6, 4, 300);
+  w.submit(s);
+  w.run(from_seconds(40));
+  ASSERT_GT(w.checker.starts(), 0U);
+  w.withdraw(s.ref);
+  w.run(millis(400));
+  w.state_outage(true);
+  w.run(from_seconds(60));
+  expect_kept(w);
+  w.state_outage(false);
+  w.run(from_seconds(30));
+  expect_kept(w);
+}
+
+TEST(Users, GetEveryStatusOfTheProtocol) {
+  World w(3);
+  w.run(from_seconds(5));
+  const auto post = [&](const Value& v) { return w.ask(0, {"POST", "/submissions", encode(v)})->status; };
+  const Value good = write_spec(World::job(1, 1, 4, 5));
+  JobSpec large = World::job(3, 1, 500, 5);
+  JobSpec stranger = World::job(5, 1, 4, 5);
+  stranger.owner = "nobody";
+  JobSpec greedy = World::job(4, 13, 8, 5);
+  greedy.shape = Shape::gang;
+  w.checker.submitted(World::job(1, 1, 4, 5));
+  EXPECT_EQ(post(good), 201);
+  EXPECT_EQ(post(good), 200);
+  EXPECT_EQ(post(write_spec(large)), 422);
+  EXPECT_EQ(post(write_spec(stranger)), 422);
+  EXPECT_EQ(post(write_spec(greedy)), 422);
+  EXPECT_EQ(post(Value::Map{{"ref", "req-000009"}}), 400);
+  // An accepted job is never called malformed afterwards.
+  EXPECT_EQ(post(Value::Map{{"ref", World::job(1, 1, 4, 5).ref}}), 200);
+  EXPECT_EQ(w.ask(1, {"POST", "/submissions", "\xff"})->status, 400);
+  EXPECT_EQ(w.ask(1, {"GET", "/submissions/req-000777", {}})->status, 404);
+  EXPECT_EQ(w.ask(1, {"GET", "/submissions/nonsense", {}})->status, 404);
+  EXPECT_EQ(w.ask(1, {"GET", "/submissions/req-" + std::string(300, '1'), {}})->status, 404);
+  EXPECT_EQ(w.ask(1, {"POST", "/submissions/req-000777/withdraw", {}})->status, 404);
+  EXPECT_EQ(w.ask(1, {"DELETE", "/submissions/req-000777", {}})->status, 405);
+  EXPECT_EQ(w.ask(1, {"GET", "/submissions", {}})->status, 405);
+  EXPECT_EQ(w.ask(1, {"GET", "/nothing", {}})->status, 404);
+  EXPECT_EQ(w.ask(1, {"POST", "/hello", "x"})->status, 400);
+  EXPECT_EQ(w.ask(2, {"GET", "/ready", {}})->status, 200);
+  w.state_outage(true);
+  w.run(from_seconds(4));
+  const auto refused = w.ask(0, {"POST", "/submissions", encode(write_spec(World::job(7, 1, 1, 1)))});
+  EXPECT_EQ(refused->status, 503);
+  EXPECT_GT(refused->retry_after_s, 0);
+  EXPECT_EQ(w.ask(0, {"GET", "/submissions/req-000777", {}})->status, 503);
+  EXPECT_EQ(w.ask(0, {"GET", "/ready", {}})->status, 200);  // an outage that all share
+}
+
+TEST(Users, ANodeThatAloneLacksTheStoreIsNotReady) {
+  World w(4);
+  w.run(from_seconds(5));
+  w.state_refuses(1, true);
+  w.run(from_seconds(5));
+  EXPECT_EQ(w.ask(1, {"GET", "/ready", {}})->status, 503);
+  EXPECT_EQ(w.ask(0, {"GET", "/ready", {}})->status, 200);
+}
+
+TEST(Checker, CatchesEveryRuleBeingBroken) {
+  const Settings s = World::small_site();
+  const JobSpec j = World::job(2, 2, 40, 5);  // of the team red: 96 cores at most
+  const Instant t0{};
+  const auto caught = [&](const char* rule, const std::function<void(Checker&)>& f) {
+    Checker c(s);
+    c.submitted(j);
+    c.answered_submit(t0, j.ref, 201);
+    f(c);
+    EXPECT_TRUE(c.broken().contains(rule)) << rule;
+    EXPECT_EQ(c.broken().size(), 1U) << rule;
+  };
+  caught("ran_twice", [&](Checker& c) {
+    c.started(t0, j.ref, 0, "m-1", "large", "a", false);
+    c.started(t0, j.ref, 0, "m-2", "large", "a", false);
+  });
+  caught("quota", [&](Checker& c) {
+    JobSpec more = World::job(4, 1, 40, 5);
+    c.submitted(more);
+    c.started(t0, j.ref, 0, "m-1", "large", "a", false);
+    c.started(t0, j.ref, 1, "m-2", "large", "a", false);
+    c.started(t0, more.ref, 0, "m-3", "large", "a", false);
+  });
+  caught("wrong_place", [&](Checker& c) {
+    JobSpec pinned = World::job(6, 1, 1, 5);
+    pinned.site = "b";
+    c.submitted(pinned);
+    c.started(t0, pinned.ref, 0, "m-1", "small", "a", false);
+  });
+  caught("ran_cancelled", [&](Checker& c) {
+    c.started(t0, j.ref, 0, "m-1", "large", "a", false);
+    c.asked_withdraw(j.ref);
+    c.answered_withdraw(t0, j.ref, 200, "withdrawn");
+    c.look(t0 + s.cancel + millis(1));
+  });
+  caught("forgotten", [&](Checker& c) { c.answered_poll(t0, j.ref, 404, ""); });
+  caught("forgotten", [&](Checker& c) { c.answered_submit(t0, j.ref, 422); });
+  caught("invented", [&](Checker& c) { c.answered_poll(t0, "req-000001", 200, "pending"); });
+  caught("not_done", [&](Checker& c) {
+    c.completed(j.ref, 0);
+    c.answered_poll(t0, j.ref, 200, "done");
+  });
+  caught("went_back", [&](Checker& c) {
+    c.completed(j.ref, 0);
+    c.completed(j.ref, 1);
+    c.answered_poll(t0, j.ref, 200, "done");
+    c.answered_poll(t0, j.ref, 200, "running");
+  });
+  caught("went_back", [&](Checker& c) { c.answered_poll(t0, j.ref, 200, "withdrawn"); });
+}
+
+int main(int argc, char** argv) {
+  testing::InitGoogleTest(&argc, argv);
+  const char* level = std::getenv("LOG_LEVEL");
+  spdlog::set_level(level != nullptr ? spdlog::level::from_str(level) : spdlog::level::off);
+  return RUN_ALL_TESTS();
+}
