Within an urgency, jobs pressed by their aim go first and hopeless ones last

Ruled out: lost capacity (all five large machines were busy from 31 s on). Change: a job that must start within 45 s to meet its next aim goes before others of its urgency and guarantee class, one that can meet none any more goes after them; among the rest falling rank stays.

--- a/include/wrenusher/planner.hpp
+++ b/include/wrenusher/planner.hpp
@@ -66,6 +66,22 @@
   std::vector<Shortage> shortages;
 };
 
+/// The times by which the job should be over, from its acceptance and in rising order: the aims of its class in
+/// the settings, or its own due time.
+std::vector<Micros> targets(const JobSpec& spec, const std::vector<Objective>& objectives);
+
+/// How a job stands against its next target.
+enum class Standing {
+  pressed,   ///< must start soon to meet it
+  ordinary,  ///< has time, or no target
+  late       ///< can meet none any more
+};
+struct Slack {
+  Standing standing = Standing::ordinary;
+  Micros left{};  ///< how long it may still wait, while pressed
+};
+Slack slack(const PlanJob& job, WallTime now, const std::vector<Objective>& objectives);
+
 /// Equation (2) of the paper. The protocol names no successors, so each job is a graph of one task and the
 /// maximum over its successors is 0.
 Micros rank(const PlanJob& job);
--- a/include/wrenusher/settings.hpp
+++ b/include/wrenusher/settings.hpp
@@ -17,6 +17,14 @@
   double cards_max = 0;
 };
 
+/// An aim for one class of jobs: done by `times` its due time (deadline) or within a fixed time (finished).
+struct Objective {
+  std::string kind;
+  std::string queue;
+  double times = 1.0;
+  Micros within{};
+};
+
 struct PeerAddress {
   std::string name;
   std::string zone;
@@ -42,6 +50,7 @@
   Endpoint state;
   std::vector<std::string> zones;
   std::vector<Team> teams;
+  std::vector<Objective> objectives;
   Micros report{};
   Micros lease{};
   Micros gang_wait{};
--- a/src/planner.cpp
+++ b/src/planner.cpp
@@ -12,6 +12,9 @@
 /// that the task fills best is taken, so that large tasks keep whole machines.
 constexpr Micros kAlike = from_seconds(5);
 
+/// A job that must start within this time to meet its target goes before the others of its urgency.
+constexpr Micros kPressed = from_seconds(45);
+
 Needs ceiling_left(const Snapshot& s, const std::string& owner) {
   constexpr Amount kNoLimit = std::numeric_limits<Amount>::max() / 4;
   Needs left{kNoLimit, kNoLimit, kNoLimit};
@@ -81,6 +84,31 @@
   return out;
 }
 
+std::vector<Micros> targets(const JobSpec& spec, const std::vector<Objective>& objectives) {
+  std::vector<Micros> out;
+  for (const Objective& o : objectives) {
+    if (o.queue != spec.queue) continue;
+    if (o.kind == "deadline" && spec.due) out.push_back(from_seconds(to_seconds(*spec.due) * o.times));
+    if (o.kind == "finished" && o.within.count() > 0) out.push_back(o.within);
+  }
+  if (out.empty() && spec.due) out.push_back(*spec.due);
+  std::sort(out.begin(), out.end());
+  return out;
+}
+
+Slack slack(const PlanJob& job, WallTime now, const std::vector<Objective>& objectives) {
+  const auto aims = targets(*job.spec, objectives);
+  if (aims.empty()) return {};
+  for (const Micros& aim : aims) {
+    const Micros left = job.accepted + aim - now - job.estimate;
+    // Estimates are often off by half: only what lacks half its run time is given up.
+    if (left < -job.estimate / 2) continue;
+    if (left < kPressed) return {Standing::pressed, left};
+    return {};
+  }
+  return {Standing::late, {}};
+}
+
 Micros rank(const PlanJob& job) { return job.estimate; }
 
 Micros fetch_time(const PlanHost& host, const JobSpec& spec) {
@@ -99,6 +127,8 @@
   struct Key {
     Urgency urgency;
     bool beyond;  // false (below the guarantee) goes first
+    Standing standing;
+    Micros left;
     Micros minus_rank;
     std::int64_t due;
     std::int64_t accepted;
@@ -110,7 +140,8 @@
     const std::int64_t accepted = j.accepted.time_since_epoch().count();
     const std::int64_t due =
         j.spec->due ? accepted + j.spec->due->count() : std::numeric_limits<std::int64_t>::max();
-    keys.push_back({j.spec->urgency, !below_guarantee(s, *j.spec), -rank(j), due, accepted});
+    const Slack sl = slack(j, s.now, s.settings->objectives);
+    keys.push_back({j.spec->urgency, !below_guarantee(s, *j.spec), sl.standing, sl.left, -rank(j), due, accepted});
   }
   std::sort(out.begin(), out.end(), [&](std::size_t a, std::size_t b) {
     return keys[a] != keys[b] ? keys[a] < keys[b] : s.jobs[a].spec->ref < s.jobs[b].spec->ref;
--- a/src/settings.cpp
+++ b/src/settings.cpp
@@ -127,6 +127,16 @@
     team.cards_max = t["gpus_max"].number(0, 1e9);
     s.teams.push_back(team);
   }
+  if (cluster.has("objectives")) {
+    for (const Field& o : cluster["objectives"].items()) {
+      Objective aim;
+      aim.kind = o["kind"].text();
+      if (o.has("class")) aim.queue = o["class"].text();
+      if (o.has("times")) aim.times = o["times"].number(0, 1e6);
+      if (o.has("within_s")) aim.within = o["within_s"].seconds(0);
+      s.objectives.push_back(aim);
+    }
+  }
   const Field workers = cluster["workers"];
   s.report = workers["report_s"].seconds(0.01);
   s.lease = workers["lease_s"].seconds(0.1);
--- a/tests/planner_test.cpp
+++ b/tests/planner_test.cpp
@@ -152,3 +152,30 @@
     }
   }));
 }
+
+TEST(Planner, ServesWhatIsPressedFirstAndWhatIsHopelessLast) {
+  // Falling rank alone starves short jobs, whose due times are the nearest, while machines are scarce.
+  World w;
+  w.s.now = WallTime{from_seconds(1000)};
+  const auto due = [&](double estimate, double left) {
+    JobSpec& j = w.job("blue", 1, 1, estimate);
+    j.due = from_seconds(100);
+    w.s.jobs.back().accepted = w.s.now + from_seconds(left + estimate - 100);
+  };
+  due(60, 200);   // 0: has time
+  due(20, 30);    // 1: pressed
+  due(20, 10);    // 2: more so
+  due(20, -50);   // 3: cannot be done in time any more
+  due(90, 200);   // 4: has time, higher rank
+  EXPECT_EQ(order(w.s), (std::vector<std::size_t>{2, 1, 4, 0, 3}));
+}
+
+TEST(Planner, LeavesTypesToThoseWhoNeedThem) {
+  World w;
+  w.job("blue", 2, 4, 30);
+  w.s.jobs.back().keep_off = {"large"};
+  w.host(w.large, "a");
+  const Plan p = place(w.s);
+  EXPECT_TRUE(p.placements.empty());
+  ASSERT_EQ(p.shortages.size(), 1U);
+}
