--- a/include/wrenusher/estimator.hpp
+++ b/include/wrenusher/estimator.hpp
@@ -1,9 +1,10 @@
 #pragma once
-// What the owners' estimates are worth: the run time seen per queue, and the speed seen per machine.
+// What the owners' estimates are worth: the run time seen per job and queue, and the speed seen per machine.
 
 #include <deque>
 #include <map>
 #include <string>
+#include <vector>
 
 #include "wrenusher/messages.hpp"
 
@@ -11,21 +12,29 @@
 
 class Estimator {
  public:
-  /// A task of the queue ran this long on this machine.
+  /// A task of the job ran this long on this machine.
   void ran(const JobSpec& spec, const std::string& host, Micros took);
   /// Run time to expect of a task of this job on a machine of ordinary speed.
   Micros estimate(const JobSpec& spec) const;
   double speed(const std::string& host) const;
-  void forget(const std::string& host) { hosts_.erase(host); }
+  void forget_host(const std::string& host) { hosts_.erase(host); }
 
  private:
-  /// The last logarithms of (seen / expected); their median is little moved by a few odd ones.
-  using Window = std::deque<double>;
-  static void push(Window& w, double x);
-  static double median(const Window& w, double prior_weight);
+  /// What the tasks of one job showed, as logarithms of (seen / expected).
+  struct Seen {
+    std::string ref;
+    double sum = 0;
+    int tasks = 0;
+    double mean() const { return sum / tasks; }
+  };
+  const Seen* seen(const JobSpec& spec) const;
+  /// The usual logarithm of (seen / expected) in a queue.
+  double usual(const std::string& queue) const;
 
-  std::map<std::string, Window> queues_;
-  std::map<std::string, Window> hosts_;
+  /// The last jobs of each queue, one entry a job however many tasks it has: a job's tasks share the error of its
+  /// estimate, so one large job must not pass for many.
+  std::map<std::string, std::deque<Seen>> queues_;
+  std::map<std::string, std::deque<double>> hosts_;
 };
 
 }  // namespace wrenusher
--- a/src/estimator.cpp
+++ b/src/estimator.cpp
@@ -6,47 +6,74 @@
 namespace wrenusher {
 
 namespace {
-constexpr std::size_t kWindow = 31;
+
+constexpr std::size_t kJobs = 25;
+constexpr std::size_t kHostTasks = 31;
 /// Before anything was seen and where the owner says nothing.
 constexpr Micros kUnknown = from_seconds(60);
-constexpr double kPrior = 3;
+/// So many jobs' worth of belief that owners are right.
+constexpr double kPrior = 4;
+/// One job's tasks share its estimate's error, so a machine is believed slow only after many of them.
+constexpr double kHostPrior = 12;
+
+/// The median, little moved by a few odd values and drawn towards 0 while there are few at all.
+double cautious_median(std::vector<double> values, double prior) {
+  if (values.empty()) return 0;
+  const auto n = static_cast<double>(values.size());
+  const auto mid = values.begin() + static_cast<std::ptrdiff_t>(values.size() / 2);
+  std::nth_element(values.begin(), mid, values.end());
+  return *mid * n / (n + prior);
+}
+
 }  // namespace
 
-void Estimator::push(Window& w, double x) {
-  w.push_back(x);
-  if (w.size() > kWindow) w.pop_front();
+const Estimator::Seen* Estimator::seen(const JobSpec& spec) const {
+  const auto queue = queues_.find(spec.queue);
+  if (queue == queues_.end()) return nullptr;
+  const auto it = std::find_if(queue->second.begin(), queue->second.end(), [&](const Seen& s) { return s.ref == spec.ref; });
+  return it == queue->second.end() ? nullptr : &*it;
 }
 
-double Estimator::median(const Window& w, double prior_weight) {
-  if (w.empty()) return 0;
-  std::vector<double> sorted(w.begin(), w.end());
-  const auto mid = sorted.begin() + static_cast<std::ptrdiff_t>(sorted.size() / 2);
-  std::nth_element(sorted.begin(), mid, sorted.end());
-  const auto n = static_cast<double>(w.size());
-  return *mid * n / (n + prior_weight);
+double Estimator::usual(const std::string& queue) const {
+  const auto it = queues_.find(queue);
+  if (it == queues_.end()) return 0;
+  std::vector<double> means;
+  for (const Seen& s : it->second) means.push_back(s.mean());
+  return cautious_median(std::move(means), kPrior);
 }
 
 void Estimator::ran(const JobSpec& spec, const std::string& host, Micros took) {
   if (spec.expected.count() <= 0 || took.count() <= 0) return;
   const double ratio = std::log(to_seconds(took) / to_seconds(spec.expected));
-  const auto it = queues_.find(spec.queue);
-  const double usual = it == queues_.end() ? 0 : median(it->second, kPrior);
-  push(hosts_[host], ratio - usual);
-  push(queues_[spec.queue], ratio);
+  if (const Seen* s = seen(spec)) {
+    // Against other tasks of the same job only the machine differs.
+    auto& h = hosts_[host];
+    h.push_back(ratio - s->mean());
+    if (h.size() > kHostTasks) h.pop_front();
+  }
+  auto& queue = queues_[spec.queue];
+  auto it = std::find_if(queue.begin(), queue.end(), [&](const Seen& s) { return s.ref == spec.ref; });
+  if (it == queue.end()) {
+    queue.push_back({spec.ref, 0, 0});
+    if (queue.size() > kJobs) queue.pop_front();
+    it = std::prev(queue.end());
+  }
+  it->sum += ratio;
+  ++it->tasks;
 }
 
 Micros Estimator::estimate(const JobSpec& spec) const {
   if (spec.expected.count() <= 0) return kUnknown;
-  const auto it = queues_.find(spec.queue);
-  const double usual = it == queues_.end() ? 0 : median(it->second, kPrior);
-  return from_seconds(to_seconds(spec.expected) * std::exp(usual));
+  double log_ratio = usual(spec.queue);
+  // What the job's own tasks showed is worth more than what its queue usually does.
+  if (const Seen* s = seen(spec)) log_ratio = (log_ratio + s->sum) / (1 + s->tasks);
+  return from_seconds(to_seconds(spec.expected) * std::exp(log_ratio));
 }
 
 double Estimator::speed(const std::string& host) const {
   const auto it = hosts_.find(host);
   if (it == hosts_.end()) return 1.0;
-  // One job's tasks share its estimate's error, so a machine is believed slow only after many of them.
-  return std::clamp(std::exp(-median(it->second, 12)), 0.2, 1.5);
+  return std::clamp(std::exp(-cautious_median({it->second.begin(), it->second.end()}, kHostPrior)), 0.2, 1.5);
 }
 
 }  // namespace wrenusher
--- a/src/ledger.cpp
+++ b/src/ledger.cpp
@@ -505,7 +505,7 @@
   if (!booked.empty()) spdlog::info("machine {} is gone with {} tasks", g.host, booked.size());
   for (const auto& [ref, task] : booked) release(*find(ref), task, "its machine is gone");
   machines_.erase(g.host);
-  estimator_.forget(g.host);
+  estimator_.forget_host(g.host);
 }
 
 // ---------------------------------------------------------------- rounds
