--- a/src/planner.cpp
+++ b/src/planner.cpp
@@ -13,7 +13,7 @@
 constexpr Micros kAlike = from_seconds(5);
 
 /// A job that must start within this time to meet its target goes before the others of its urgency.
-constexpr Micros kPressed = from_seconds(45);
+constexpr Micros kPressed = from_seconds(100);
 
 Needs ceiling_left(const Snapshot& s, const std::string& owner) {
   constexpr Amount kNoLimit = std::numeric_limits<Amount>::max() / 4;
@@ -102,7 +102,7 @@
   for (const Micros& aim : aims) {
     const Micros left = job.accepted + aim - now - job.estimate;
     // Estimates are often off by half: only what lacks half its run time is given up.
-    if (left < -job.estimate / 2) continue;
+    if (left < -job.estimate / 8) continue;
     if (left < kPressed) return {Standing::pressed, left};
     return {};
   }
