--- a/include/wrenusher/fleet.hpp
+++ b/include/wrenusher/fleet.hpp
@@ -60,6 +60,7 @@
     std::uint64_t serial = 0;
     Instant heard{};
     bool quiet = false;
+    std::optional<Instant> taken;  ///< by then the cloud will have taken it away, as it said itself
   };
   void tick();
   Response elsewhere() const;
--- a/src/fleet.cpp
+++ b/src/fleet.cpp
@@ -82,7 +82,8 @@
     return;
   }
   if (h.quiet) spdlog::info("machine {} is heard again", report.host);
-  h = {report.addr, report.tenure, report.serial, rt_.now(), false};
+  h = {report.addr, report.tenure, report.serial, rt_.now(), false, std::nullopt};
+  if (report.warning) h.taken = rt_.now() + *report.warning;
   const bool current = report.epoch == term_.epoch;
   reported(HostReported{std::make_shared<const WorkerReport>(std::move(report)), current, settled, reply});
 }
@@ -122,7 +123,10 @@
   // While nobody is heard at all the fault is more likely here than at every machine at once.
   if (term_.leading && !deaf) {
     for (auto& [name, h] : hosts_) {
-      if (h.quiet || now - h.heard <= limit) continue;
+      // One that was to be taken about now needs no long silence to be believed gone. A notice may last half as
+      // long as it says, so what counts is the silence as well.
+      const bool taken = h.taken && now >= *h.taken && now - h.heard > settings_.report * 3 / 2;
+      if (h.quiet || (now - h.heard <= limit && !taken)) continue;
       h.quiet = true;
       spdlog::info("machine {} is silent for {:.1f} s", name, to_seconds(now - h.heard));
       quiet(HostQuiet{name});
