--- a/src/fleet.cpp
+++ b/src/fleet.cpp
@@ -50,11 +50,14 @@
   ever_heard_ = true;
   if (report->epoch > term_.epoch) {
     // A 200 with our lower epoch would be dropped by the worker and let its lease run out.
+    spdlog::debug("report of {} has epoch {}, {} is known here", report->host, report->epoch, term_.epoch);
     deposed(Deposed{report->epoch});
     answer({421, {}, 0});
     return;
   }
   if (!term_.leading) {
+    spdlog::debug("report of {} with epoch {} is sent on to '{}' of epoch {}", report->host, report->epoch, term_.leader,
+                  term_.epoch);
     answer(elsewhere());
     return;
   }
--- a/src/store.cpp
+++ b/src/store.cpp
@@ -1,5 +1,7 @@
 #include "wrenusher/store.hpp"
 
+#include <spdlog/spdlog.h>
+
 #include <algorithm>
 
 namespace wrenusher {
@@ -67,6 +69,7 @@
   }
   if (reachable() != told_) {
     told_ = !told_;
+    spdlog::info("the state service {}", told_ ? "answers" : "gives no answers");
     health(StoreHealth{told_});
   }
 }
