--- a/src/provisioner.cpp
+++ b/src/provisioner.cpp
@@ -18,6 +18,8 @@
 constexpr std::uint32_t kMostPerBooking = 50;
 constexpr std::size_t kMostPerReturn = 100;
 constexpr int kBookingTries = 8;
+/// So many failed calls in a row are an outage.
+constexpr int kTroubled = 3;
 
 }  // namespace
 
@@ -66,10 +68,10 @@
                                o.response.body.find("no capacity") != std::string::npos;
       if (!o.answered || o.response.status == 429 || (o.response.status == 503 && !no_capacity)) {
         troubles_ = std::min(troubles_ + 1, 5);
-        if (troubles_ == 3) spdlog::warn("the cloud gives no answers");
+        if (troubles_ == kTroubled) spdlog::warn("the cloud gives no answers");
         cloud_not_before_ = rt_.now() + millis(300) * troubles_ + rt_.jitter(millis(300) * troubles_);
       } else {
-        if (troubles_ >= 3) spdlog::info("the cloud answers again");
+        if (troubles_ >= kTroubled) spdlog::info("the cloud answers again");
         troubles_ = 0;
       }
       done(o);
@@ -358,7 +360,8 @@
     const bool some = std::any_of(f.sites.begin(), f.sites.end(), [&, type = name](const std::string& site) {
       return !refused({type, site, true}) || !refused({type, site, false});
     });
-    if (!some) seen.exhausted.insert(name);
+    // While the cloud gives no answers nothing can be had from it either.
+    if (!some || troubles_ >= kTroubled) seen.exhausted.insert(name);
   }
   capacity(seen);
 }
