--- a/apps/wrenusher/main.cpp
+++ b/apps/wrenusher/main.cpp
@@ -17,16 +17,19 @@
 constexpr int kCannotRun = 1;
 
 void set_up_log() {
-  spdlog::set_default_logger(std::make_shared<spdlog::logger>("wrenusher", std::make_shared<spdlog::sinks::stderr_sink_st>()));
+  spdlog::set_default_logger(
+      std::make_shared<spdlog::logger>("wrenusher", std::make_shared<spdlog::sinks::stderr_sink_st>()));
   spdlog::set_pattern("%Y-%m-%dT%H:%M:%S.%e %l %v");
   const char* level = std::getenv("LOG_LEVEL");
-  spdlog::set_level(level != nullptr && *level != '\0' ? spdlog::level::from_str(level) : spdlog::level::info);
+  spdlog::set_level(level != nullptr && *level != '\0' ? spdlog::level::from_str(level)
+                                                       : spdlog::level::info);
 }
 
 }  // namespace
 
 int main(int argc, char** argv) {
-  CLI::App app{"wrenusher: a cluster scheduler. Takes jobs from users, rents machines and decides what runs where."};
+  CLI::App app{
+      "wrenusher: a cluster scheduler. Takes jobs from users, rents machines and decides what runs where."};
   std::string config;
   std::string tunables;
   bool check = false;
@@ -55,11 +58,12 @@
   try {
     wrenusher::UvRuntime runtime(settings.max_sockets);
     wrenusher::Controller controller(runtime, settings);
-    runtime.listen(settings.client_listen, std::max(16, settings.max_sockets * 5 / 6), [&](const wrenusher::Request& r, const wrenusher::Answer& a) {
-      controller.serve_client(r, a);
+    runtime.listen(
+        settings.client_listen, std::max(16, settings.max_sockets * 5 / 6),
+        [&](const wrenusher::Request& r, const wrenusher::Answer& a) { controller.serve_client(r, a); });
+    runtime.listen(settings.peer_listen, 16, [&](const wrenusher::Request& r, const wrenusher::Answer& a) {
+      controller.serve_peer(r, a);
     });
-    runtime.listen(settings.peer_listen, 16,
-                   [&](const wrenusher::Request& r, const wrenusher::Answer& a) { controller.serve_peer(r, a); });
     spdlog::info("wrenusher {} starts as {} in zone {}", WRENUSHER_VERSION, settings.node, settings.zone);
     controller.start();
     runtime.run();
--- a/include/wrenusher/estimator.hpp
+++ b/include/wrenusher/estimator.hpp
@@ -31,8 +31,8 @@
   /// The usual logarithm of (seen / expected) in a queue.
   double usual(const std::string& queue) const;
 
-  /// The last jobs of each queue, one entry a job however many tasks it has: a job's tasks share the error of its
-  /// estimate, so one large job must not pass for many.
+  /// The last jobs of each queue, one entry a job however many tasks it has: a job's tasks share the error of
+  /// its estimate, so one large job must not pass for many.
   std::map<std::string, std::deque<Seen>> queues_;
   std::map<std::string, std::deque<double>> hosts_;
 };
--- a/include/wrenusher/leadership.hpp
+++ b/include/wrenusher/leadership.hpp
@@ -9,9 +9,9 @@
 /// A term began or ended, here or elsewhere.
 struct TermChanged {
   bool leading = false;
-  std::uint64_t epoch = 0;   ///< the highest this node knows
-  std::uint64_t stamp = 0;   ///< of the `leader` key while leading: a condition of every scheduling write
-  std::string leader;        ///< empty: not known
+  std::uint64_t epoch = 0;  ///< the highest this node knows
+  std::uint64_t stamp = 0;  ///< of the `leader` key while leading: a condition of every scheduling write
+  std::string leader;       ///< empty: not known
 };
 
 /// Until when this node is certain to be the only leader.
--- a/include/wrenusher/ledger.hpp
+++ b/include/wrenusher/ledger.hpp
@@ -99,8 +99,8 @@
     std::map<std::uint32_t, Claim> claims;
     std::map<std::uint32_t, std::uint64_t> fresh_done;  ///< done, not yet committed: task -> version
     std::uint64_t last_try = 0;
-    bool refresh = false;   ///< the store must be read before the next write
-    bool broken = false;    ///< gang: the attempt is over, its tasks are being cleared away
+    bool refresh = false;  ///< the store must be read before the next write
+    bool broken = false;   ///< gang: the attempt is over, its tasks are being cleared away
     std::map<std::string, Instant> avoid;
     std::set<std::string> error_hosts;
     Instant not_before{};
@@ -158,7 +158,10 @@
   void round();
   void plan();
   void see_sought();
+  void make_room(const planner::Snapshot& s, const std::vector<planner::Shortage>& shortages);
   std::set<std::string> keep_off(const Job& job, WallTime now) const;
+  bool is_sought(const std::string& flavor) const;
+  bool patience_over(const Job& job, WallTime now) const;
   void flush();
   bool add_final(const std::string& ref, Job& job, std::vector<Condition>& when, std::vector<Change>& apply,
                  Pending& pending);
--- a/include/wrenusher/planner.hpp
+++ b/include/wrenusher/planner.hpp
@@ -66,8 +66,8 @@
   std::vector<Shortage> shortages;
 };
 
-/// The times by which the job should be over, from its acceptance and in rising order: the aims of its class in
-/// the settings, or its own due time.
+/// The times by which the job should be over, from its acceptance and in rising order: the aims of its class
+/// in the settings, or its own due time.
 std::vector<Micros> targets(const JobSpec& spec, const std::vector<Objective>& objectives);
 
 /// How a job stands against its next target.
@@ -95,6 +95,21 @@
 std::vector<std::size_t> order(const Snapshot& s);
 Plan place(Snapshot s);
 
+/// A task that runs now and might be stopped for a job of higher urgency.
+struct Running {
+  std::size_t host = 0;
+  const JobSpec* spec = nullptr;
+  std::uint32_t task = 0;
+  Micros age{};        ///< since it runs
+  Micros remaining{};  ///< estimated
+  bool stopping = false;
+};
+
+/// Which running tasks to stop so that the shortages of jobs of higher urgency find room: tasks that save
+/// first, then the youngest, and none that will soon end by itself. Indices into `running`.
+std::vector<std::size_t> preempt(const Snapshot& s, const std::vector<Shortage>& shortages,
+                                 const std::vector<Running>& running);
+
 /// How many tasks of a need fit into a room.
 std::uint32_t count_fitting(const Needs& need, const Needs& room, std::uint32_t most);
 /// How many more tasks the job may put into the zone, given where its tasks are.
--- a/include/wrenusher/provisioner.hpp
+++ b/include/wrenusher/provisioner.hpp
@@ -35,7 +35,7 @@
     bool draining = false;  ///< gets no new tasks and goes back once the last has ended
     bool running = false;   ///< listed as running
     Instant rented{};
-    Instant expected{};     ///< to report by then
+    Instant expected{};  ///< to report by then
     Instant idle_since{};
   };
   /// One kind of machine: type, zone, and spot or ordinary.
--- a/include/wrenusher/records.hpp
+++ b/include/wrenusher/records.hpp
@@ -16,9 +16,15 @@
 
 namespace wrenusher::records {
 
-inline std::string job_key(const std::string& ref) { return "job/" + ref; }
-inline std::string end_key(const std::string& ref) { return "end/" + ref; }
-inline std::string block_key(const std::string& ref, std::uint32_t n) { return job_key(ref) + "/" + std::to_string(n); }
+inline std::string job_key(const std::string& ref) {
+  return "job/" + ref;
+}
+inline std::string end_key(const std::string& ref) {
+  return "end/" + ref;
+}
+inline std::string block_key(const std::string& ref, std::uint32_t n) {
+  return job_key(ref) + "/" + std::to_string(n);
+}
 bool is_block_of(const std::string& key, const std::string& ref);
 /// Takes "job/<ref>" or "job/<ref>/<n>" apart.
 bool parse_key(const std::string& key, std::string& ref, std::optional<std::uint32_t>& block);
--- a/include/wrenusher/settings.hpp
+++ b/include/wrenusher/settings.hpp
@@ -11,7 +11,7 @@
 
 struct Team {
   std::string name;
-  double cores = 0;  ///< guaranteed; 0: none
+  double cores = 0;      ///< guaranteed; 0: none
   double cores_max = 0;  ///< ceiling; 0: none
   double cards = 0;
   double cards_max = 0;
--- a/include/wrenusher/store.hpp
+++ b/include/wrenusher/store.hpp
@@ -98,7 +98,8 @@
   void hold(Micros life, std::function<void(HoldReply)> done);
   void extend(std::uint64_t tenancy, std::function<void(HoldReply)> done);
   void drop(std::uint64_t tenancy);
-  void follow(const std::string& prefix, std::uint64_t from, Micros wait, std::function<void(FollowReply)> done);
+  void follow(const std::string& prefix, std::uint64_t from, Micros wait,
+              std::function<void(FollowReply)> done);
 
   /// The leader does most of the work and so gets most of the pace.
   void leading(bool yes);
--- a/include/wrenusher/time.hpp
+++ b/include/wrenusher/time.hpp
@@ -31,7 +31,11 @@
 constexpr Micros from_seconds(double s) {
   return Micros{static_cast<std::int64_t>(s * 1e6 + (s < 0 ? -0.5 : 0.5))};
 }
-constexpr double to_seconds(Micros d) { return static_cast<double>(d.count()) / 1e6; }
-constexpr Micros millis(std::int64_t ms) { return Micros{ms * 1000}; }
+constexpr double to_seconds(Micros d) {
+  return static_cast<double>(d.count()) / 1e6;
+}
+constexpr Micros millis(std::int64_t ms) {
+  return Micros{ms * 1000};
+}
 
 }  // namespace wrenusher
--- a/include/wrenusher/value.hpp
+++ b/include/wrenusher/value.hpp
@@ -58,7 +58,8 @@
  private:
   friend std::string encode(const Value&);
   friend void encode_into(const Value&, std::string&);
-  std::variant<std::nullptr_t, bool, std::uint64_t, std::int64_t, double, std::string, List, Map> data_ = nullptr;
+  std::variant<std::nullptr_t, bool, std::uint64_t, std::int64_t, double, std::string, List, Map> data_ =
+      nullptr;
 };
 
 std::string encode(const Value& v);
--- a/src/estimator.cpp
+++ b/src/estimator.cpp
@@ -30,7 +30,8 @@
 const Estimator::Seen* Estimator::seen(const JobSpec& spec) const {
   const auto queue = queues_.find(spec.queue);
   if (queue == queues_.end()) return nullptr;
-  const auto it = std::find_if(queue->second.begin(), queue->second.end(), [&](const Seen& s) { return s.ref == spec.ref; });
+  const auto it = std::find_if(queue->second.begin(), queue->second.end(),
+                               [&](const Seen& s) { return s.ref == spec.ref; });
   return it == queue->second.end() ? nullptr : &*it;
 }
 
--- a/src/fleet.cpp
+++ b/src/fleet.cpp
@@ -13,11 +13,13 @@
 
 Fleet::Fleet(Runtime& rt, const Settings& settings) : rt_(rt), settings_(settings) {}
 
-void Fleet::start() { tick(); }
+void Fleet::start() {
+  tick();
+}
 
 Micros Fleet::quiet_after() const {
-  const Micros reports{
-      static_cast<std::int64_t>(static_cast<double>(settings_.report.count()) * settings_.tunables.silent_reports)};
+  const Micros reports{static_cast<std::int64_t>(static_cast<double>(settings_.report.count()) *
+                                                 settings_.tunables.silent_reports)};
   return std::max(from_seconds(4), std::min(reports, settings_.lease));
 }
 
@@ -56,8 +58,8 @@
     return;
   }
   if (!term_.leading) {
-    spdlog::debug("report of {} with epoch {} is sent on to '{}' of epoch {}", report->host, report->epoch, term_.leader,
-                  term_.epoch);
+    spdlog::debug("report of {} with epoch {} is sent on to '{}' of epoch {}", report->host, report->epoch,
+                  term_.leader, term_.epoch);
     answer(elsewhere());
     return;
   }
@@ -98,13 +100,14 @@
   std::erase_if(orders, [](const Order& o) { return o.verb == Order::Verb::run; });
   const std::string body = encode(
       Value::Map{{"epoch", term_.epoch}, {"tenure", it->second.tenure}, {"orders", write_orders(orders)}});
-  rt_.fetch(it->second.addr, {"POST", "/orders", body}, from_seconds(2), [this, epoch = term_.epoch](const Outcome& o) {
-    if (!term_.leading || term_.epoch != epoch || !o.answered || o.response.status != 200) return;
-    const auto v = decode(o.response.body);
-    if (auto report = v ? read_report(*v) : std::nullopt; report && report->epoch == epoch) {
-      take(std::move(*report), false, [](const std::vector<Order>&) {});
-    }
-  });
+  rt_.fetch(it->second.addr, {"POST", "/orders", body}, from_seconds(2),
+            [this, epoch = term_.epoch](const Outcome& o) {
+              if (!term_.leading || term_.epoch != epoch || !o.answered || o.response.status != 200) return;
+              const auto v = decode(o.response.body);
+              if (auto report = v ? read_report(*v) : std::nullopt; report && report->epoch == epoch) {
+                take(std::move(*report), false, [](const std::vector<Order>&) {});
+              }
+            });
 }
 
 void Fleet::on_gone(const HostGone& g) {
@@ -126,8 +129,8 @@
   // While nobody is heard at all the fault is more likely here than at every machine at once.
   if (term_.leading && !deaf) {
     for (auto& [name, h] : hosts_) {
-      // One that was to be taken about now needs no long silence to be believed gone. A notice may last half as
-      // long as it says, so what counts is the silence as well.
+      // One that was to be taken about now needs no long silence to be believed gone. A notice may last half
+      // as long as it says, so what counts is the silence as well.
       const bool taken = h.taken && now >= *h.taken && now - h.heard > settings_.report * 3 / 2;
       if (h.quiet || (now - h.heard <= limit && !taken)) continue;
       h.quiet = true;
--- a/src/frontdesk.cpp
+++ b/src/frontdesk.cpp
@@ -14,7 +14,9 @@
 /// Rows read for one poll: the job's root and blocks enough for a fair count on display.
 constexpr int kPollRows = 20;
 
-Response later(int seconds = 1) { return {503, {}, seconds}; }
+Response later(int seconds = 1) {
+  return {503, {}, seconds};
+}
 
 Response status_response(int code, const std::string& ref, const std::string& status) {
   return {code, encode(Value::Map{{"ref", ref}, {"status", status}}), 0};
@@ -25,7 +27,9 @@
 Frontdesk::Frontdesk(Runtime& rt, const Settings& settings, Store& store)
     : rt_(rt), settings_(settings), store_(store) {}
 
-void Frontdesk::on_peer(const PeerNews& news) { peers_[news.node] = {rt_.now(), news.store}; }
+void Frontdesk::on_peer(const PeerNews& news) {
+  peers_[news.node] = {rt_.now(), news.store};
+}
 
 bool Frontdesk::ready() const {
   if (store_.reachable()) return true;
@@ -179,8 +183,9 @@
     known_or(*ref, {400, {}, 0}, answer);
     return;
   }
-  store_.commit({{records::job_key(*ref), 0}, {records::end_key(*ref), 0}}, {{records::job_key(*ref), record, 0}},
-                Store::Urgent::user, [this, id = *ref, answer](const Commit& c) {
+  store_.commit({{records::job_key(*ref), 0}, {records::end_key(*ref), 0}},
+                {{records::job_key(*ref), record, 0}}, Store::Urgent::user,
+                [this, id = *ref, answer](const Commit& c) {
                   switch (c.result) {
                     case Commit::Result::committed:
                       answer(status_response(201, id, "pending"));
@@ -235,8 +240,9 @@
       answer(status_response(200, ref, "withdrawn"));
       return;
     }
-    store_.commit({{r.rows[0].key, r.rows[0].stamp}}, {{r.rows[0].key, records::withdrawn(r.rows[0].value), 0}},
-                  Store::Urgent::user, [this, ref, tries, answer](const Commit& c) {
+    store_.commit({{r.rows[0].key, r.rows[0].stamp}},
+                  {{r.rows[0].key, records::withdrawn(r.rows[0].value), 0}}, Store::Urgent::user,
+                  [this, ref, tries, answer](const Commit& c) {
                     if (c.result == Commit::Result::committed) {
                       withdrawn(JobWithdrawn{ref});
                       answer(status_response(200, ref, "withdrawn"));
--- a/src/leadership.cpp
+++ b/src/leadership.cpp
@@ -21,9 +21,13 @@
 Leadership::Leadership(Runtime& rt, const Settings& settings, Store& store)
     : rt_(rt), settings_(settings), store_(store) {}
 
-void Leadership::start() { tick(); }
+void Leadership::start() {
+  tick();
+}
 
-bool Leadership::fresh(const PeerState& p) const { return rt_.now() - p.at < kFresh; }
+bool Leadership::fresh(const PeerState& p) const {
+  return rt_.now() - p.at < kFresh;
+}
 
 void Leadership::note_epoch(std::uint64_t epoch, const std::string& leader) {
   if (leading_ || epoch < epoch_ || (epoch == epoch_ && leader == leader_)) return;
@@ -55,7 +59,8 @@
 
 void Leadership::prove(Instant sent) {
   const auto life = settings_.tunables.hold_life;
-  const Instant until = sent + life - Micros{static_cast<std::int64_t>(static_cast<double>(life.count()) * kDrift)} - kMargin;
+  const Instant until =
+      sent + life - Micros{static_cast<std::int64_t>(static_cast<double>(life.count()) * kDrift)} - kMargin;
   if (until > certain_until_) {
     certain_until_ = until;
     certainty(Certainty{certain_until_});
--- a/src/ledger.cpp
+++ b/src/ledger.cpp
@@ -18,15 +18,20 @@
 constexpr Micros kErrorMemory = from_seconds(180);
 constexpr std::size_t kErrorHosts = 3;
 constexpr Micros kNoRoomPause = from_seconds(3);
+/// An urgent job that must start within this time to meet its aim may have others stopped.
+constexpr Micros kLastMoment = from_seconds(15);
 constexpr int kPublishEvery = 2;
 /// A type that some job could not do without is kept for such jobs this long after the last one was seen.
 constexpr Micros kSoughtMemory = from_seconds(300);
 
 }  // namespace
 
-Ledger::Ledger(Runtime& rt, const Settings& settings, Store& store) : rt_(rt), settings_(settings), store_(store) {}
+Ledger::Ledger(Runtime& rt, const Settings& settings, Store& store)
+    : rt_(rt), settings_(settings), store_(store) {}
 
-void Ledger::start() { tick(); }
+void Ledger::start() {
+  tick();
+}
 
 // ---------------------------------------------------------------- takeover
 
@@ -234,7 +239,9 @@
   return it == jobs_.end() ? nullptr : &it->second;
 }
 
-Ledger::Machine& Ledger::machine(const std::string& host) { return machines_[host]; }
+Ledger::Machine& Ledger::machine(const std::string& host) {
+  return machines_[host];
+}
 
 void Ledger::touch(Job& job, std::uint32_t task) {
   job.blocks[block_of(job, task)].version = ++clock_;
@@ -245,7 +252,8 @@
   return version <= job.blocks[block_of(job, task)].committed;
 }
 
-void Ledger::claim(Job& job, std::uint32_t task, const std::string& host, std::uint64_t attempt, Phase phase) {
+void Ledger::claim(Job& job, std::uint32_t task, const std::string& host, std::uint64_t attempt,
+                   Phase phase) {
   if (job.claims.contains(task)) unclaim(job, task);
   job.waiting.remove(task);
   touch(job, task);
@@ -356,7 +364,8 @@
   int only_here = 0;
   for (const auto& [id, at] : m.errors) {
     const Job* other = find(id);
-    const bool elsewhere = other != nullptr && (other->error_hosts.size() != 1 || !other->error_hosts.contains(host));
+    const bool elsewhere =
+        other != nullptr && (other->error_hosts.size() != 1 || !other->error_hosts.contains(host));
     if (now - at < kErrorMemory && !elsewhere) ++only_here;
   }
   if (only_here >= 2 && !m.condemned) suspect(HostCondemned{host, "tasks of several jobs failed on it"});
@@ -392,7 +401,8 @@
   }
   const WorkerReport& r = *in.report;
   Machine& m = machine(r.host);
-  if (m.tenure != 0 && r.tenure > m.tenure) spdlog::info("machine {} began tenure {}: its tasks are gone", r.host, r.tenure);
+  if (m.tenure != 0 && r.tenure > m.tenure)
+    spdlog::info("machine {} began tenure {}: its tasks are gone", r.host, r.tenure);
   m.flavor = r.flavor;
   m.site = r.site;
   m.standby = r.standby;
@@ -495,7 +505,9 @@
   if (const auto it = machines_.find(q.host); it != machines_.end()) it->second.quiet = true;
 }
 
-void Ledger::on_condemned(const HostCondemned& c) { machine(c.host).condemned = true; }
+void Ledger::on_condemned(const HostCondemned& c) {
+  machine(c.host).condemned = true;
+}
 
 void Ledger::on_gone(const HostGone& g) {
   if (!term_.leading || !loaded_) return;
@@ -533,18 +545,27 @@
 /// The types that the job leaves to others: those that some jobs need, as long as it has another one that the
 /// cloud still gives, and has not waited for longer than such a machine takes to come.
 std::set<std::string> Ledger::keep_off(const Job& job, WallTime now) const {
+  if (patience_over(job, now)) return {};
   std::set<std::string> sought;
+  for (const std::string& name : planner::fitting_flavors(job.rec.spec, *catalog_)) {
+    if (is_sought(name)) sought.insert(name);
+  }
+  return sought;
+}
+
+/// Whether the job has waited for as long as a new machine would take, of a type that the cloud still gives.
+bool Ledger::patience_over(const Job& job, WallTime now) const {
   Micros patience{0};
   for (const std::string& name : planner::fitting_flavors(job.rec.spec, *catalog_)) {
-    const auto it = sought_until_.find(name);
-    if (it != sought_until_.end() && rt_.now() < it->second) {
-      sought.insert(name);
-    } else if (!exhausted_.contains(name)) {
+    if (!is_sought(name) && !exhausted_.contains(name))
       patience = std::max(patience, catalog_->at(name).boot);
-    }
   }
-  if (now - job.rec.accepted >= patience) sought.clear();
-  return sought;
+  return now - job.rec.accepted >= patience;
+}
+
+bool Ledger::is_sought(const std::string& flavor) const {
+  const auto it = sought_until_.find(flavor);
+  return it != sought_until_.end() && rt_.now() < it->second;
 }
 
 void Ledger::plan() {
@@ -582,7 +603,8 @@
   }
   for (auto& [name, m] : machines_) {
     const auto flavor = catalog_->find(m.flavor);
-    if (!m.current || m.quiet || m.condemned || m.warned || flavor == catalog_->end() || s.clock < m.full_until) {
+    if (!m.current || m.quiet || m.condemned || m.warned || flavor == catalog_->end() ||
+        s.clock < m.full_until) {
       continue;
     }
     planner::PlanHost h;
@@ -616,9 +638,49 @@
                   to_seconds(planner::finish_time(host, s.jobs[pl.job])),
                   to_seconds(planner::fetch_time(host, job.rec.spec)));
   }
+  std::vector<planner::Shortage> urgent;
+  for (const planner::Shortage& sh : p.shortages) {
+    const planner::PlanJob& job = s.jobs[sh.job];
+    if (job.spec->urgency >= Urgency::normal || !patience_over(*jobs[sh.job], s.now)) continue;
+    // Others are stopped only for what would otherwise come too late, and can still come in time.
+    const planner::Slack sl = planner::slack(job, s.now, settings_.objectives);
+    if (sl.standing == planner::Standing::pressed && sl.left < kLastMoment) urgent.push_back(sh);
+  }
+  if (!urgent.empty()) make_room(s, urgent);
   publish(s, p);
 }
 
+/// Stops tasks of less urgent jobs for urgent ones that have waited for as long as new machines take to come.
+void Ledger::make_room(const planner::Snapshot& s, const std::vector<planner::Shortage>& shortages) {
+  std::vector<planner::Running> running;
+  std::vector<Claim*> claims;
+  planner::Snapshot after = s;
+  for (std::size_t h = 0; h < s.hosts.size(); ++h) {
+    planner::PlanHost& host = after.hosts[h];
+    host.room = host.flavor->room;
+    for (const auto& [ref, task] : machines_.at(host.name).claims) {
+      Job& job = *find(ref);
+      Claim& c = job.claims.at(task);
+      host.room -= job.rec.spec.needs;
+      if (job.rec.spec.shape == Shape::gang || (c.phase != Phase::running && !c.halt)) continue;
+      const Micros age = c.phase == Phase::running ? rt_.now() - c.running_since : Micros{0};
+      running.push_back({h, &job.rec.spec, task, age, estimator_.estimate(job.rec.spec) - age, c.halt});
+      claims.push_back(&c);
+    }
+  }
+  std::map<std::string, std::vector<Order>> orders;
+  for (const std::size_t i : planner::preempt(after, shortages, running)) {
+    Claim& c = *claims[i];
+    const JobSpec& spec = *running[i].spec;
+    c.halt = true;
+    c.leeway = spec.saves() ? spec.snapshot + from_seconds(1) : Micros{0};
+    orders[c.host].push_back({Order::Verb::halt, spec.ref, running[i].task, c.attempt, c.leeway});
+    spdlog::info("task {} on {} makes room for more urgent work", unit_name(spec.ref, running[i].task),
+                 c.host);
+  }
+  for (auto& [host, list] : orders) direct(DirectOrders{host, std::move(list)});
+}
+
 void Ledger::publish(const planner::Snapshot& s, const planner::Plan& p) {
   if (++publish_count_ % kPublishEvery != 0) return;
   Workload w;
@@ -627,8 +689,7 @@
     w.demands.push_back({*j.spec, sh.tasks, j.estimate, j.keep_off});
   }
   for (const auto& [name, m] : machines_) {
-    w.hosts.push_back({name, m.flavor, m.site, m.standby,
-                       m.current && !m.quiet && !m.condemned && !m.warned,
+    w.hosts.push_back({name, m.flavor, m.site, m.standby, m.current && !m.quiet && !m.condemned && !m.warned,
                        static_cast<std::uint32_t>(m.claims.size())});
   }
   workload(w);
@@ -648,10 +709,11 @@
   return records::write_block(b, first, last);
 }
 
-bool Ledger::add_final(const std::string& ref, Job& job, std::vector<Condition>& when, std::vector<Change>& apply,
-                       Pending& pending) {
-  const bool over = job.rec.withdrawn ? job.claims.empty()
-                                      : job.rec.spec.shape != Shape::daemon && job.done.size() == job.rec.spec.units;
+bool Ledger::add_final(const std::string& ref, Job& job, std::vector<Condition>& when,
+                       std::vector<Change>& apply, Pending& pending) {
+  const bool over = job.rec.withdrawn
+                        ? job.claims.empty()
+                        : job.rec.spec.shape != Shape::daemon && job.done.size() == job.rec.spec.units;
   if (!over) return false;
   when.push_back({records::job_key(ref), job.stamp});
   apply.push_back({records::end_key(ref),
@@ -686,7 +748,8 @@
       continue;
     }
     if (job->refresh) continue;
-    if (apply.size() + 3 > settings_.txn_ops || when.size() + 2 > settings_.txn_ops * 4 || bytes > kTxnBytes) break;
+    if (apply.size() + 3 > settings_.txn_ops || when.size() + 2 > settings_.txn_ops * 4 || bytes > kTxnBytes)
+      break;
     if (add_final(ref, *job, when, apply, pending)) continue;
     bool any = false;
     for (std::uint32_t n = 0; n < job->blocks.size(); ++n) {
@@ -717,9 +780,8 @@
   }
   if (apply.empty()) return;
   committing_ = true;
-  store_.commit(when, apply, Store::Urgent::schedule, [this, pending, term = term_.epoch](const Commit& c) {
-    settle(c, pending, term);
-  });
+  store_.commit(when, apply, Store::Urgent::schedule,
+                [this, pending, term = term_.epoch](const Commit& c) { settle(c, pending, term); });
 }
 
 void Ledger::settle(const Commit& c, const Pending& p, std::uint64_t term) {
--- a/src/messages.cpp
+++ b/src/messages.cpp
@@ -108,7 +108,8 @@
   const auto scatter = v["scatter"].boolean();
   const auto standby = v["standby"].boolean();
   if (!ref || !valid_ref(*ref) || !queue || !owner || !shape || !urgency || !bundle || !units || !cores ||
-      !cards || !memory || !image || !expected || !every || !snapshot || !same_place || !scatter || !standby) {
+      !cards || !memory || !image || !expected || !every || !snapshot || !same_place || !scatter ||
+      !standby) {
     return std::nullopt;
   }
   const auto sh = read_shape(*shape);
@@ -186,7 +187,8 @@
   const auto serial = v["serial"].count();
   const auto epoch = v["epoch"].count();
   const Value::List* units = v["units"].list();
-  if (!host || !addr || !flavor || !site || !standby || !tenure || !serial || !epoch || !units) return std::nullopt;
+  if (!host || !addr || !flavor || !site || !standby || !tenure || !serial || !epoch || !units)
+    return std::nullopt;
   r = {*host, *addr, *flavor, *site, *standby, *tenure, *serial, *epoch, std::nullopt, {}};
   if (const auto w = v["warning_s"].number()) r.warning = from_seconds(std::clamp(*w, 0.0, kMostSeconds));
   r.units.reserve(units->size());
@@ -207,14 +209,17 @@
   return r;
 }
 
-std::string unit_name(const std::string& ref, std::uint32_t task) { return ref + "/" + std::to_string(task); }
+std::string unit_name(const std::string& ref, std::uint32_t task) {
+  return ref + "/" + std::to_string(task);
+}
 
 Value write_orders(const std::vector<Order>& orders) {
   static constexpr const char* verbs[] = {"run", "halt", "reap"};
   Value::List out;
   out.reserve(orders.size());
   for (const Order& o : orders) {
-    Value::Map m{{"verb", verbs[static_cast<int>(o.verb)]}, {"unit", unit_name(o.ref, o.task)}, {"try", o.attempt}};
+    Value::Map m{
+        {"verb", verbs[static_cast<int>(o.verb)]}, {"unit", unit_name(o.ref, o.task)}, {"try", o.attempt}};
     if (o.verb == Order::Verb::halt) m.emplace_back("leeway_s", to_seconds(o.leeway));
     out.emplace_back(std::move(m));
   }
@@ -267,9 +272,12 @@
 
 std::string never_runs(const JobSpec& spec, const Catalog& catalog, const Team* team) {
   if (team == nullptr) return "the team is not known";
-  const Needs all = spec.shape == Shape::sweep ? spec.needs : spec.needs * static_cast<std::int64_t>(spec.units);
-  if (team->cores_max > 0 && all.cores > to_amount(team->cores_max)) return "needs more cores than the team may use";
-  if (team->cards_max > 0 && all.cards > to_amount(team->cards_max)) return "needs more cards than the team may use";
+  const Needs all =
+      spec.shape == Shape::sweep ? spec.needs : spec.needs * static_cast<std::int64_t>(spec.units);
+  if (team->cores_max > 0 && all.cores > to_amount(team->cores_max))
+    return "needs more cores than the team may use";
+  if (team->cards_max > 0 && all.cards > to_amount(team->cards_max))
+    return "needs more cards than the team may use";
   for (const auto& [name, flavor] : catalog) {
     if (!spec.needs.fits(flavor.room)) continue;
     for (const std::string& site : flavor.sites) {
--- a/src/net.cpp
+++ b/src/net.cpp
@@ -41,16 +41,26 @@
 
 const char* reason(int status) {
   switch (status) {
-    case 200: return "OK";
-    case 201: return "Created";
-    case 400: return "Bad Request";
-    case 404: return "Not Found";
-    case 405: return "Method Not Allowed";
-    case 421: return "Misdirected Request";
-    case 422: return "Unprocessable Content";
-    case 429: return "Too Many Requests";
-    case 503: return "Service Unavailable";
-    default: return "Status";
+    case 200:
+      return "OK";
+    case 201:
+      return "Created";
+    case 400:
+      return "Bad Request";
+    case 404:
+      return "Not Found";
+    case 405:
+      return "Method Not Allowed";
+    case 421:
+      return "Misdirected Request";
+    case 422:
+      return "Unprocessable Content";
+    case 429:
+      return "Too Many Requests";
+    case 503:
+      return "Service Unavailable";
+    default:
+      return "Status";
   }
 }
 
@@ -114,7 +124,7 @@
   bool closing = false;
   bool begun = false;
   bool finished = false;  ///< the last answer is out; what still comes is read and thrown away
-  bool refusing = false;  ///< over the socket budget: every request gets 503 with a time to return
+  bool refusing = false;  ///< over the socket budget: users get 503 with a time to return
   Instant last{};
   std::list<std::shared_ptr<Inbound>>::iterator place;
 
@@ -148,7 +158,8 @@
   void finish() {
     finished = true;
     auto* req = new uv_shutdown_t;
-    if (uv_shutdown(req, reinterpret_cast<uv_stream_t*>(&tcp), [](uv_shutdown_t* r, int) { delete r; }) != 0) {
+    if (uv_shutdown(req, reinterpret_cast<uv_stream_t*>(&tcp), [](uv_shutdown_t* r, int) { delete r; }) !=
+        0) {
       delete req;
       close();
       return;
@@ -157,7 +168,9 @@
   }
 
   void dispatch() {
-    const bool keep = http_should_keep_alive(&parser) != 0 && !refusing && !too_large;
+    // Over the socket budget users are sent away; workers and health checks are still answered.
+    const bool refuse = refusing && request.target.starts_with("/submissions");
+    const bool keep = http_should_keep_alive(&parser) != 0 && !refuse && !too_large;
     answering = true;
     // Requests are not pipelined: nothing more is read until this one is answered.
     uv_read_stop(reinterpret_cast<uv_stream_t*>(&tcp));
@@ -165,7 +178,7 @@
       answer({400, {}, 0}, false);
       return;
     }
-    if (refusing) {
+    if (refuse) {
       answer({503, {}, 3}, false);
       return;
     }
@@ -340,7 +353,8 @@
     const Request& r = call->request;
     std::string out = r.method + " " + r.target + " HTTP/1.1\r\nHost: " + pool->at + "\r\n";
     if (!r.body.empty()) out += "Content-Type: application/cbor\r\n";
-    if (r.method != "GET" || !r.body.empty()) out += "Content-Length: " + std::to_string(r.body.size()) + "\r\n";
+    if (r.method != "GET" || !r.body.empty())
+      out += "Content-Length: " + std::to_string(r.body.size()) + "\r\n";
     out += "\r\n";
     out += r.body;
     http_parser_init(&parser, HTTP_RESPONSE);
@@ -398,9 +412,8 @@
 
 void UvRuntime::pump(Pool& pool) {
   while (!pool.waiting.empty()) {
-    const auto idle = std::find_if(pool.open.begin(), pool.open.end(), [](const auto& o) {
-      return !o->closing && !o->call && o->connected;
-    });
+    const auto idle = std::find_if(pool.open.begin(), pool.open.end(),
+                                   [](const auto& o) { return !o->closing && !o->call && o->connected; });
     if (idle != pool.open.end()) {
       auto c = pool.waiting.front();
       pool.waiting.pop_front();
@@ -433,7 +446,8 @@
                                     }
                                     self->connected = true;
                                     uv_tcp_nodelay(&self->tcp, 1);
-                                    uv_read_start(reinterpret_cast<uv_stream_t*>(&self->tcp), take_buffer, Outbound::on_read);
+                                    uv_read_start(reinterpret_cast<uv_stream_t*>(&self->tcp), take_buffer,
+                                                  Outbound::on_read);
                                     if (self->call) self->transmit();
                                   });
     if (rc != 0) out->fail();
@@ -519,12 +533,15 @@
       [](uv_timer_t* h) {
         auto* timer = static_cast<Timer*>(h->data);
         timer->f();
-        uv_close(reinterpret_cast<uv_handle_t*>(h), [](uv_handle_t* x) { delete static_cast<Timer*>(x->data); });
+        uv_close(reinterpret_cast<uv_handle_t*>(h),
+                 [](uv_handle_t* x) { delete static_cast<Timer*>(x->data); });
       },
       static_cast<std::uint64_t>(ms), 0);
 }
 
-Instant UvRuntime::now() const { return Instant{Micros{static_cast<std::int64_t>(uv_hrtime() / 1000)}}; }
+Instant UvRuntime::now() const {
+  return Instant{Micros{static_cast<std::int64_t>(uv_hrtime() / 1000)}};
+}
 
 WallTime UvRuntime::wall() const {
   return WallTime{std::chrono::duration_cast<Micros>(std::chrono::system_clock::now().time_since_epoch())};
@@ -535,7 +552,10 @@
   for (const auto& l : listeners_) {
     std::vector<std::shared_ptr<Inbound>> old;
     for (const auto& in : l->open) {
-      if (!in->answering && t - in->last > (in->finished ? kInboundLinger : in->begun ? kInboundStall : kInboundIdle)) old.push_back(in);
+      if (!in->answering && t - in->last > (in->finished ? kInboundLinger
+                                            : in->begun  ? kInboundStall
+                                                         : kInboundIdle))
+        old.push_back(in);
     }
     for (const auto& in : old) in->close();
   }
--- a/src/peer.cpp
+++ b/src/peer.cpp
@@ -12,7 +12,9 @@
 
 Peer::Peer(Runtime& rt, const Settings& settings) : rt_(rt), settings_(settings) {}
 
-void Peer::start() { beat(); }
+void Peer::start() {
+  beat();
+}
 
 void Peer::beat() {
   while (!recent_.empty() && rt_.now() - recent_.front().first > kRepeat) recent_.pop_front();
@@ -39,8 +41,8 @@
 Value Peer::describe() const {
   Value::List gone;
   for (const auto& [at, ref] : recent_) gone.emplace_back(ref);
-  return Value::Map{{"node", settings_.node}, {"epoch", term_.epoch},  {"leader", term_.leader},
-                    {"leading", term_.leading}, {"store", store_},     {"hears", hears_},
+  return Value::Map{{"node", settings_.node},      {"epoch", term_.epoch}, {"leader", term_.leader},
+                    {"leading", term_.leading},    {"store", store_},      {"hears", hears_},
                     {"withdrawn", std::move(gone)}};
 }
 
--- a/src/planner.cpp
+++ b/src/planner.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <limits>
 #include <numeric>
+#include <tuple>
 
 namespace wrenusher::planner {
 
@@ -15,6 +16,9 @@
 /// A job that must start within this time to meet its target goes before the others of its urgency.
 constexpr Micros kPressed = from_seconds(100);
 
+/// A task that ends within this time by itself is not stopped for another.
+constexpr Micros kSoonOver = from_seconds(10);
+
 Needs ceiling_left(const Snapshot& s, const std::string& owner) {
   constexpr Amount kNoLimit = std::numeric_limits<Amount>::max() / 4;
   Needs left{kNoLimit, kNoLimit, kNoLimit};
@@ -39,7 +43,8 @@
 /// How much of the machine stays unused by tasks of this need, from 0 to 1: the more, the worse the fit.
 double misfit(const PlanHost& host, const Needs& need) {
   const Needs& all = host.flavor->room;
-  const double cores = all.cores > 0 ? static_cast<double>(host.room.cores - need.cores) / static_cast<double>(all.cores) : 0;
+  const double cores =
+      all.cores > 0 ? static_cast<double>(host.room.cores - need.cores) / static_cast<double>(all.cores) : 0;
   // A machine much larger than the task is better kept for what fits nowhere else.
   const double size = static_cast<double>(all.cores) / 1e9;
   return cores + size;
@@ -77,7 +82,8 @@
   std::set<std::string> out;
   for (const auto& [name, f] : catalog) {
     if (!spec.needs.fits(f.room)) continue;
-    if (std::any_of(f.sites.begin(), f.sites.end(), [&](const std::string& z) { return spec.allows(name, z, false); })) {
+    if (std::any_of(f.sites.begin(), f.sites.end(),
+                    [&](const std::string& z) { return spec.allows(name, z, false); })) {
       out.insert(name);
     }
   }
@@ -109,7 +115,9 @@
   return {Standing::late, {}};
 }
 
-Micros rank(const PlanJob& job) { return job.estimate; }
+Micros rank(const PlanJob& job) {
+  return job.estimate;
+}
 
 Micros fetch_time(const PlanHost& host, const JobSpec& spec) {
   if (host.images != nullptr && host.images->contains(spec.bundle)) return Micros{0};
@@ -141,7 +149,8 @@
     const std::int64_t due =
         j.spec->due ? accepted + j.spec->due->count() : std::numeric_limits<std::int64_t>::max();
     const Slack sl = slack(j, s.now, s.settings->objectives);
-    keys.push_back({j.spec->urgency, !below_guarantee(s, *j.spec), sl.standing, sl.left, -rank(j), due, accepted});
+    keys.push_back(
+        {j.spec->urgency, !below_guarantee(s, *j.spec), sl.standing, sl.left, -rank(j), due, accepted});
   }
   std::sort(out.begin(), out.end(), [&](std::size_t a, std::size_t b) {
     return keys[a] != keys[b] ? keys[a] < keys[b] : s.jobs[a].spec->ref < s.jobs[b].spec->ref;
@@ -154,7 +163,8 @@
   // Images that this plan itself brings to a machine, on top of those already there.
   std::vector<std::vector<const std::string*>> coming(s.hosts.size());
   const auto has_image = [&](std::size_t h, const JobSpec& spec) {
-    return std::any_of(coming[h].begin(), coming[h].end(), [&](const std::string* b) { return *b == spec.bundle; });
+    return std::any_of(coming[h].begin(), coming[h].end(),
+                       [&](const std::string* b) { return *b == spec.bundle; });
   };
   for (const std::size_t j : order(s)) {
     PlanJob& job = s.jobs[j];
@@ -173,7 +183,9 @@
     std::vector<Candidate> candidates;
     for (std::size_t h = 0; h < s.hosts.size(); ++h) {
       const PlanHost& host = s.hosts[h];
-      if (!spec.allows(host.flavor->name, host.site, host.standby) || job.keep_off.contains(host.flavor->name)) continue;
+      if (!spec.allows(host.flavor->name, host.site, host.standby) ||
+          job.keep_off.contains(host.flavor->name))
+        continue;
       if (job.avoid != nullptr) {
         const auto it = job.avoid->find(host.name);
         if (it != job.avoid->end() && s.clock < it->second) continue;
@@ -237,4 +249,62 @@
   return plan;
 }
 
+std::vector<std::size_t> preempt(const Snapshot& s, const std::vector<Shortage>& shortages,
+                                 const std::vector<Running>& running) {
+  std::vector<std::size_t> out;
+  std::vector<Needs> room;
+  for (const PlanHost& h : s.hosts) room.push_back(h.room);
+  for (const Running& r : running) {
+    if (r.stopping) room[r.host] += r.spec->needs;  // on its way out already
+  }
+  std::vector<std::size_t> victims;
+  for (std::size_t i = 0; i < running.size(); ++i) {
+    const Running& r = running[i];
+    // What saves nothing is stopped only while it has more before it than behind it.
+    if (!r.stopping && r.remaining > kSoonOver && (r.spec->saves() || r.age < r.remaining))
+      victims.push_back(i);
+  }
+  std::sort(victims.begin(), victims.end(), [&](std::size_t a, std::size_t b) {
+    const auto key = [&](const Running& r) {
+      return std::tuple(r.spec->urgency, !r.spec->saves() ? 0 : 1, -r.age);
+    };
+    return key(running[a]) > key(running[b]);  // least urgent first
+  });
+  for (const Shortage& sh : shortages) {
+    const PlanJob& job = s.jobs[sh.job];
+    const JobSpec& spec = *job.spec;
+    if (spec.shape == Shape::gang) continue;
+    std::uint32_t left = sh.tasks;
+    const auto usable = [&](std::size_t h) {
+      const PlanHost& host = s.hosts[h];
+      return spec.allows(host.flavor->name, host.site, host.standby) &&
+             !job.keep_off.contains(host.flavor->name);
+    };
+    const auto take = [&](std::size_t h) {
+      const std::uint32_t n = count_fitting(spec.needs, room[h], left);
+      room[h] -= spec.needs * n;
+      left -= n;
+    };
+    for (std::size_t h = 0; h < room.size() && left > 0; ++h) {
+      if (usable(h)) take(h);
+    }
+    for (std::size_t& v : victims) {
+      if (left == 0) break;
+      if (v == running.size()) continue;  // taken
+      const Running& r = running[v];
+      if (r.spec->urgency <= spec.urgency || !usable(r.host)) continue;
+      Needs freed = room[r.host];
+      freed += r.spec->needs;
+      // Not a large task for a small one.
+      if ((spec.needs * count_fitting(spec.needs, freed, left)).cores * 2 < r.spec->needs.cores) continue;
+      if (count_fitting(spec.needs, freed, left) == 0) continue;
+      room[r.host] = freed;
+      out.push_back(v);
+      v = running.size();
+      take(r.host);
+    }
+  }
+  return out;
+}
+
 }  // namespace wrenusher::planner
--- a/src/provisioner.cpp
+++ b/src/provisioner.cpp
@@ -26,7 +26,9 @@
 Provisioner::Provisioner(Runtime& rt, const Settings& settings, Store& store)
     : rt_(rt), settings_(settings), store_(store), pace_(settings.cloud_rps * 0.9, rt.now()) {}
 
-void Provisioner::start() { tick(); }
+void Provisioner::start() {
+  tick();
+}
 
 void Provisioner::on_term(const TermChanged& t) {
   const bool begins = t.leading && !(term_.leading && term_.epoch == t.epoch);
@@ -63,19 +65,20 @@
 
 void Provisioner::cloud(Request request, bool first, std::function<void(const Outcome&)> done) {
   auto send = [this, request = std::move(request), done = std::move(done)]() mutable {
-    rt_.fetch(settings_.cloud, std::move(request), kTimeout, [this, done = std::move(done)](const Outcome& o) {
-      const bool no_capacity = o.answered && o.response.status == 503 &&
-                               o.response.body.find("no capacity") != std::string::npos;
-      if (!o.answered || o.response.status == 429 || (o.response.status == 503 && !no_capacity)) {
-        troubles_ = std::min(troubles_ + 1, 5);
-        if (troubles_ == kTroubled) spdlog::warn("the cloud gives no answers");
-        cloud_not_before_ = rt_.now() + millis(300) * troubles_ + rt_.jitter(millis(300) * troubles_);
-      } else {
-        if (troubles_ >= kTroubled) spdlog::info("the cloud answers again");
-        troubles_ = 0;
-      }
-      done(o);
-    });
+    rt_.fetch(
+        settings_.cloud, std::move(request), kTimeout, [this, done = std::move(done)](const Outcome& o) {
+          const bool no_capacity = o.answered && o.response.status == 503 &&
+                                   o.response.body.find("no capacity") != std::string::npos;
+          if (!o.answered || o.response.status == 429 || (o.response.status == 503 && !no_capacity)) {
+            troubles_ = std::min(troubles_ + 1, 5);
+            if (troubles_ == kTroubled) spdlog::warn("the cloud gives no answers");
+            cloud_not_before_ = rt_.now() + millis(300) * troubles_ + rt_.jitter(millis(300) * troubles_);
+          } else {
+            if (troubles_ >= kTroubled) spdlog::info("the cloud answers again");
+            troubles_ = 0;
+          }
+          done(o);
+        });
   };
   if (first) {
     calls_.emplace_front(std::move(send));
@@ -135,9 +138,10 @@
              std::to_string(f.room.memory) + ' ' + std::to_string(f.sites.size()) + ';';
   }
   if (types == catalog_written_) return;
-  store_.commit({{"leader", term_.stamp}}, {{"catalog", v, 0}}, Store::Urgent::schedule, [this, types](const Commit& c) {
-    if (c.result == Commit::Result::committed) catalog_written_ = types;
-  });
+  store_.commit({{"leader", term_.stamp}}, {{"catalog", v, 0}}, Store::Urgent::schedule,
+                [this, types](const Commit& c) {
+                  if (c.result == Commit::Result::committed) catalog_written_ = types;
+                });
 }
 
 void Provisioner::read_catalog_record() {
@@ -252,8 +256,8 @@
           if (!m.up) m.expected = rt_.now() + patience(kind.flavor);
         }
       }
-      spdlog::info("rented {} of {} {} {} in {}", got, booking.count, kind.standby ? "spot" : "ordinary", kind.flavor,
-                   kind.site);
+      spdlog::info("rented {} of {} {} {} in {}", got, booking.count, kind.standby ? "spot" : "ordinary",
+                   kind.flavor, kind.site);
       if (got < booking.count) refused_until_[kind] = rt_.now() + kRefusedPause;
       open_bookings_.erase(it);
       return;
--- a/src/records.cpp
+++ b/src/records.cpp
@@ -24,7 +24,9 @@
 
 }  // namespace
 
-bool is_block_of(const std::string& key, const std::string& ref) { return key.starts_with(job_key(ref) + "/"); }
+bool is_block_of(const std::string& key, const std::string& ref) {
+  return key.starts_with(job_key(ref) + "/");
+}
 
 bool parse_key(const std::string& key, std::string& ref, std::optional<std::uint32_t>& block) {
   if (!key.starts_with("job/")) return false;
--- a/src/settings.cpp
+++ b/src/settings.cpp
@@ -28,7 +28,9 @@
  public:
   Field(const json& at, std::string name) : at_(at), name_(std::move(name)) {}
 
-  [[noreturn]] void fail(const std::string& what) const { throw SettingsError("settings: " + name_ + ": " + what); }
+  [[noreturn]] void fail(const std::string& what) const {
+    throw SettingsError("settings: " + name_ + ": " + what);
+  }
 
   Field operator[](const std::string& key) const {
     const std::string name = name_.empty() ? key : name_ + "." + key;
@@ -81,7 +83,8 @@
   std::vector<Field> items() const {
     if (!at_.is_array()) fail("must be a list");
     std::vector<Field> out;
-    for (std::size_t i = 0; i < at_.size(); ++i) out.emplace_back(at_[i], name_ + "[" + std::to_string(i) + "]");
+    for (std::size_t i = 0; i < at_.size(); ++i)
+      out.emplace_back(at_[i], name_ + "[" + std::to_string(i) + "]");
     return out;
   }
 
@@ -155,7 +158,9 @@
   return s;
 }
 
-Settings load_settings(const std::string& path) { return parse_settings(read_file(path)); }
+Settings load_settings(const std::string& path) {
+  return parse_settings(read_file(path));
+}
 
 Tunables parse_tunables(const std::string& text) {
   Tunables t;
@@ -197,6 +202,8 @@
   return t;
 }
 
-Tunables load_tunables(const std::string& path) { return parse_tunables(read_file(path)); }
+Tunables load_tunables(const std::string& path) {
+  return parse_tunables(read_file(path));
+}
 
 }  // namespace wrenusher
--- a/src/store.cpp
+++ b/src/store.cpp
@@ -23,7 +23,9 @@
   return r;
 }
 
-std::uint64_t revision_of(const Value& v) { return v["ledger_rev"].count().value_or(0); }
+std::uint64_t revision_of(const Value& v) {
+  return v["ledger_rev"].count().value_or(0);
+}
 
 }  // namespace
 
@@ -60,7 +62,9 @@
   writes_.rate(std::max(1.0, settings_.state_write_rps * share * 0.95));
 }
 
-bool Store::reachable() const { return ever_good_ && rt_.now() - last_good_ < kStale; }
+bool Store::reachable() const {
+  return ever_good_ && rt_.now() - last_good_ < kStale;
+}
 
 void Store::seen(bool good) {
   if (good) {
@@ -76,7 +80,8 @@
 
 void Store::call(Request request, Micros timeout, Done done) {
   rt_.fetch(settings_.state, std::move(request), timeout, [this, done = std::move(done)](Outcome o) {
-    if (o.answered && o.response.status == 429) backoff_until_ = rt_.now() + millis(100) + rt_.jitter(millis(200));
+    if (o.answered && o.response.status == 429)
+      backoff_until_ = rt_.now() + millis(100) + rt_.jitter(millis(200));
     seen(o.answered && o.response.status != 503 && o.response.status != 429);
     done(std::move(o));
   });
@@ -223,72 +228,72 @@
 
 void Store::hold(Micros life, std::function<void(HoldReply)> done) {
   const std::string body = encode(Value::Map{{"life_ms", static_cast<std::uint64_t>(life.count() / 1000)}});
-  submit(
-      Urgent::hold, 0,
-      [this, body, done] {
-        call({"POST", "/holds", body}, kTimeout, [done](Outcome o) {
-          HoldReply h;
-          if (o.answered && o.response.status == 200) {
-            const auto v = decode(o.response.body);
-            if (const auto t = v ? (*v)["tenancy"].count() : std::nullopt) {
-              h.result = HoldReply::Result::ok;
-              h.tenancy = *t;
-            }
-          }
-          done(h);
-        });
-      },
-      {});
+  submit(Urgent::hold, 0,
+         [this, body, done] {
+           call({"POST", "/holds", body}, kTimeout, [done](Outcome o) {
+             HoldReply h;
+             if (o.answered && o.response.status == 200) {
+               const auto v = decode(o.response.body);
+               if (const auto t = v ? (*v)["tenancy"].count() : std::nullopt) {
+                 h.result = HoldReply::Result::ok;
+                 h.tenancy = *t;
+               }
+             }
+             done(h);
+           });
+         },
+         {});
 }
 
 void Store::extend(std::uint64_t tenancy, std::function<void(HoldReply)> done) {
-  submit(
-      Urgent::hold, 0,
-      [this, tenancy, done] {
-        call({"POST", "/holds/" + std::to_string(tenancy) + "/extend", {}}, kTimeout, [done, tenancy](Outcome o) {
-          HoldReply h;
-          h.tenancy = tenancy;
-          if (o.answered && o.response.status == 200) h.result = HoldReply::Result::ok;
-          if (o.answered && o.response.status == 404) h.result = HoldReply::Result::gone;
-          done(h);
-        });
-      },
-      {});
+  submit(Urgent::hold, 0,
+         [this, tenancy, done] {
+           call({"POST", "/holds/" + std::to_string(tenancy) + "/extend", {}}, kTimeout,
+                [done, tenancy](Outcome o) {
+                  HoldReply h;
+                  h.tenancy = tenancy;
+                  if (o.answered && o.response.status == 200) h.result = HoldReply::Result::ok;
+                  if (o.answered && o.response.status == 404) h.result = HoldReply::Result::gone;
+                  done(h);
+                });
+         },
+         {});
 }
 
 void Store::drop(std::uint64_t tenancy) {
-  submit(
-      Urgent::hold, 0,
-      [this, tenancy] { call({"DELETE", "/holds/" + std::to_string(tenancy), {}}, kTimeout, [](const Outcome&) {}); },
-      {});
+  submit(Urgent::hold, 0,
+         [this, tenancy] {
+           call({"DELETE", "/holds/" + std::to_string(tenancy), {}}, kTimeout, [](const Outcome&) {});
+         },
+         {});
 }
 
-void Store::follow(const std::string& prefix, std::uint64_t from, Micros wait, std::function<void(FollowReply)> done) {
+void Store::follow(const std::string& prefix, std::uint64_t from, Micros wait,
+                   std::function<void(FollowReply)> done) {
   const std::string target = "/follow?starts=" + prefix + "&from=" + std::to_string(from) +
                              "&hold_ms=" + std::to_string(wait.count() / 1000);
-  submit(
-      Urgent::hold, 0,
-      [this, target, wait, done] {
-        call({"GET", target, {}}, wait + kTimeout, [done](Outcome o) {
-          FollowReply f;
-          if (o.answered && o.response.status == 410) f.result = FollowReply::Result::too_old;
-          if (o.answered && o.response.status == 200) {
-            if (const auto v = decode(o.response.body); v && (*v)["events"].list() != nullptr) {
-              f.result = FollowReply::Result::ok;
-              f.revision = revision_of(*v);
-              for (const Value& e : *(*v)["events"].list()) {
-                if (const std::string* k = e["delete"].text()) {
-                  f.deletes.push_back(*k);
-                } else {
-                  f.puts.push_back(read_row(e, "put"));
-                }
-              }
-            }
-          }
-          done(std::move(f));
-        });
-      },
-      {});
+  submit(Urgent::hold, 0,
+         [this, target, wait, done] {
+           call({"GET", target, {}}, wait + kTimeout, [done](Outcome o) {
+             FollowReply f;
+             if (o.answered && o.response.status == 410) f.result = FollowReply::Result::too_old;
+             if (o.answered && o.response.status == 200) {
+               if (const auto v = decode(o.response.body); v && (*v)["events"].list() != nullptr) {
+                 f.result = FollowReply::Result::ok;
+                 f.revision = revision_of(*v);
+                 for (const Value& e : *(*v)["events"].list()) {
+                   if (const std::string* k = e["delete"].text()) {
+                     f.deletes.push_back(*k);
+                   } else {
+                     f.puts.push_back(read_row(e, "put"));
+                   }
+                 }
+               }
+             }
+             done(std::move(f));
+           });
+         },
+         {});
 }
 
 }  // namespace wrenusher
--- a/src/value.cpp
+++ b/src/value.cpp
@@ -150,7 +150,9 @@
   bool finished_ = false;
 };
 
-Builder& builder(void* ctx) { return *static_cast<Builder*>(ctx); }
+Builder& builder(void* ctx) {
+  return *static_cast<Builder*>(ctx);
+}
 
 cbor_callbacks make_callbacks() {
   cbor_callbacks c = cbor_empty_callbacks;
@@ -268,7 +270,9 @@
     void operator()(std::nullptr_t) const { put(out, cbor_encode_null); }
     void operator()(bool b) const { put(out, cbor_encode_bool, b); }
     void operator()(std::uint64_t n) const { put(out, cbor_encode_uint, n); }
-    void operator()(std::int64_t n) const { put(out, cbor_encode_negint, static_cast<std::uint64_t>(-1 - n)); }
+    void operator()(std::int64_t n) const {
+      put(out, cbor_encode_negint, static_cast<std::uint64_t>(-1 - n));
+    }
     void operator()(double d) const { put(out, cbor_encode_double, d); }
     void operator()(const std::string& s) const {
       put(out, cbor_encode_string_start, s.size());
--- a/tests/formats_test.cpp
+++ b/tests/formats_test.cpp
@@ -95,12 +95,16 @@
       std::string("\x41\x61", 2),      // a byte string
       std::string("\xc1\x01", 2),      // a tag
       std::string("\xa1\x01\x01", 3),  // a key that is no text
-      std::string("\xa1\x61" "a", 3),  // a map cut short
-      std::string("\xbf\x61" "a\xff", 4),  // a key without its value
-      std::string("\x61\xff", 2),      // text that is no UTF-8
-      std::string("\xf7", 1),          // undefined
-      std::string(200, '\x81'),        // nested too deep
-      std::string("\xff", 1),          // a break with nothing open
+      std::string("\xa1\x61"
+                  "a",
+                  3),  // a map cut short
+      std::string("\xbf\x61"
+                  "a\xff",
+                  4),                                          // a key without its value
+      std::string("\x61\xff", 2),                              // text that is no UTF-8
+      std::string("\xf7", 1),                                  // undefined
+      std::string(200, '\x81'),                                // nested too deep
+      std::string("\xff", 1),                                  // a break with nothing open
       std::string("\x9b\xff\xff\xff\xff\xff\xff\xff\xff", 9),  // a list of 2^64-1 items
   };
   for (const std::string& b : bad) EXPECT_FALSE(decode(b)) << b.size();
@@ -108,7 +112,11 @@
 
 TEST(Cbor, ReadsIndefiniteLengthItems) {
   // {_ "a": [_ 1, 2], "b": (_ "x" "y")}
-  const std::string bytes("\xbf\x61" "a\x9f\x01\x02\xff\x61" "b\x7f\x61x\x61y\xff\xff", 16);
+  const std::string bytes(
+      "\xbf\x61"
+      "a\x9f\x01\x02\xff\x61"
+      "b\x7f\x61x\x61y\xff\xff",
+      16);
   const auto v = decode(bytes);
   ASSERT_TRUE(v);
   EXPECT_EQ((*v)["a"].list()->size(), 2U);
@@ -148,11 +156,21 @@
     EXPECT_FALSE(read_spec(with(good, name, Value::List{Value{}}))) << name;
   }
   const std::vector<std::pair<std::string, Value>> bad = {
-      {"units", 0},        {"units", 100001},     {"units", 1.5},
-      {"units", -1},       {"cores", -1.0},       {"memory_gb", std::numeric_limits<double>::infinity()},
-      {"cores", std::nan("")}, {"ref", "job-1"},  {"ref", "req-" + std::string(100, '1')},
-      {"shape", "array"},  {"urgency", "urgent"}, {"due_s", -5},
-      {"expected_s", 1e300}, {"flavors", Value::List{}}, {"site", 4},
+      {"units", 0},
+      {"units", 100001},
+      {"units", 1.5},
+      {"units", -1},
+      {"cores", -1.0},
+      {"memory_gb", std::numeric_limits<double>::infinity()},
+      {"cores", std::nan("")},
+      {"ref", "job-1"},
+      {"ref", "req-" + std::string(100, '1')},
+      {"shape", "array"},
+      {"urgency", "urgent"},
+      {"due_s", -5},
+      {"expected_s", 1e300},
+      {"flavors", Value::List{}},
+      {"site", 4},
   };
   for (const auto& [name, value] : bad) EXPECT_FALSE(read_spec(with(good, name, value))) << name;
   EXPECT_TRUE(read_spec(with(good, "flavors", nullptr)));
--- a/tests/planner_test.cpp
+++ b/tests/planner_test.cpp
@@ -16,7 +16,8 @@
 struct World {
   Settings settings;
   Flavor small{"small", {to_amount(16), 0, to_amount(64)}, 30, 0.5, 1, 0.3, from_seconds(20), {"a", "b"}};
-  Flavor large{"large", {to_amount(64), to_amount(4), to_amount(256)}, 30, 0.5, 4, 1, from_seconds(30), {"a"}};
+  Flavor large{"large", {to_amount(64), to_amount(4), to_amount(256)}, 30, 0.5, 4, 1, from_seconds(30),
+               {"a"}};
   std::vector<std::unique_ptr<JobSpec>> specs;
   std::map<std::string, std::uint64_t> cached{{"hot", 1}};
   Snapshot s;
@@ -58,10 +59,10 @@
 
 TEST(Planner, ServesByUrgencyThenGuaranteeThenFallingRank) {
   World w;
-  w.job("blue", 1, 1, 500);                             // 0: beyond any guarantee
-  w.job("red", 1, 1, 10);                               // 1: within the guarantee
-  w.job("red", 1, 1, 90);                               // 2: likewise, higher rank
-  w.job("blue", 1, 1, 1).urgency = Urgency::high;       // 3: urgent
+  w.job("blue", 1, 1, 500);                        // 0: beyond any guarantee
+  w.job("red", 1, 1, 10);                          // 1: within the guarantee
+  w.job("red", 1, 1, 90);                          // 2: likewise, higher rank
+  w.job("blue", 1, 1, 1).urgency = Urgency::high;  // 3: urgent
   EXPECT_EQ(order(w.s), (std::vector<std::size_t>{3, 2, 1, 0}));
 }
 
@@ -121,7 +122,8 @@
     }
     const int hosts = *rc::gen::inRange(0, 6);
     for (int i = 0; i < hosts; ++i) {
-      PlanHost& h = w.host(*rc::gen::arbitrary<bool>() ? w.small : w.large, *rc::gen::element<std::string>("a", "b"));
+      PlanHost& h =
+          w.host(*rc::gen::arbitrary<bool>() ? w.small : w.large, *rc::gen::element<std::string>("a", "b"));
       h.standby = *rc::gen::arbitrary<bool>();
     }
     w.s.teams["red"].used.cores = to_amount(*rc::gen::element(0.0, 40.0, 64.0));
@@ -162,11 +164,11 @@
     j.due = from_seconds(100);
     w.s.jobs.back().accepted = w.s.now + from_seconds(left + estimate - 100);
   };
-  due(60, 200);   // 0: has time
-  due(20, 30);    // 1: pressed
-  due(20, 10);    // 2: more so
-  due(20, -50);   // 3: cannot be done in time any more
-  due(90, 200);   // 4: has time, higher rank
+  due(60, 200);  // 0: has time
+  due(20, 30);   // 1: pressed
+  due(20, 10);   // 2: more so
+  due(20, -50);  // 3: cannot be done in time any more
+  due(90, 200);  // 4: has time, higher rank
   EXPECT_EQ(order(w.s), (std::vector<std::size_t>{2, 1, 4, 0, 3}));
 }
 
@@ -179,3 +181,29 @@
   EXPECT_TRUE(p.placements.empty());
   ASSERT_EQ(p.shortages.size(), 1U);
 }
+
+TEST(Planner, StopsLessUrgentTasksForUrgentOnes) {
+  World w;
+  w.job("blue", 2, 4, 30).urgency = Urgency::high;
+  const Shortage two{0, 2};
+  w.host(w.small, "a").room = {};
+  JobSpec saves = w.job("blue", 1, 4, 60);
+  saves.snapshot_every = from_seconds(10);
+  JobSpec normal = w.job("blue", 1, 4, 60);
+  JobSpec equal = normal;
+  equal.urgency = Urgency::high;
+  w.s.jobs.resize(1);
+  const std::vector<Running> running = {
+      {0, &equal, 0, from_seconds(1), from_seconds(50), false},    // 0: as urgent
+      {0, &normal, 0, from_seconds(50), from_seconds(20), false},  // 1: too far on to lose its work
+      {0, &normal, 1, from_seconds(5), from_seconds(50), false},   // 2: young
+      {0, &saves, 0, from_seconds(50), from_seconds(20), false},   // 3: loses nothing
+      {0, &saves, 1, from_seconds(55), from_seconds(5), false},    // 4: ends by itself
+      {0, &normal, 2, from_seconds(2), from_seconds(50), false},   // 5: younger still
+  };
+  EXPECT_EQ(preempt(w.s, {two}, running), (std::vector<std::size_t>{3, 5}));
+  // Room that is already being made is not made twice.
+  std::vector<Running> going = running;
+  going[3].stopping = going[5].stopping = true;
+  EXPECT_TRUE(preempt(w.s, {two}, going).empty());
+}
--- a/tests/standins/checker.cpp
+++ b/tests/standins/checker.cpp
@@ -9,13 +9,16 @@
 
 void Checker::answered_submit(Instant, const std::string& ref, int status) {
   if (status == 200 || status == 201) accepted_.insert(ref);
-  if ((status == 400 || status == 422) && accepted_.contains(ref)) breaks("forgotten", ref + " submitted again");
+  if ((status == 400 || status == 422) && accepted_.contains(ref))
+    breaks("forgotten", ref + " submitted again");
 }
 
 void Checker::final_state(Instant now, const std::string& ref, const std::string& state) {
   const auto it = final_.find(ref);
-  if (it != final_.end() && it->second != state) breaks("went_back", ref + " from " + it->second + " to " + state);
-  if (state == "withdrawn" && !asked_.contains(ref)) breaks("went_back", ref + " was not cancelled by its user");
+  if (it != final_.end() && it->second != state)
+    breaks("went_back", ref + " from " + it->second + " to " + state);
+  if (state == "withdrawn" && !asked_.contains(ref))
+    breaks("went_back", ref + " was not cancelled by its user");
   if (state == "done" && completed_[ref].size() != specs_.at(ref).units) breaks("not_done", ref);
   if (state == "done" || state == "withdrawn") final_.emplace(ref, state);
   if (state == "withdrawn") cancelled_at_.emplace(ref, now);
@@ -49,7 +52,8 @@
   for (const On& other : places) {
     if (other.host != host) breaks("ran_twice", unit_name(ref, task) + " on " + other.host + " and " + host);
   }
-  if (!spec->second.allows(flavor, site, standby)) breaks("wrong_place", unit_name(ref, task) + " on " + host);
+  if (!spec->second.allows(flavor, site, standby))
+    breaks("wrong_place", unit_name(ref, task) + " on " + host);
   places.push_back({host, site});
   std::map<std::string, std::uint32_t> zones;
   double cores = 0;
@@ -57,10 +61,12 @@
     if (where.empty()) continue;
     if (unit.first == ref) ++zones[where.front().site];
     const JobSpec& other = specs_.at(unit.first);
-    if (other.owner == spec->second.owner) cores += from_amount(other.needs.cores) * static_cast<double>(where.size());
+    if (other.owner == spec->second.owner)
+      cores += from_amount(other.needs.cores) * static_cast<double>(where.size());
   }
   if (spec->second.same_place && zones.size() > 1) breaks("wrong_place", ref + " is in two zones");
-  if (spec->second.scatter && zones[site] > (spec->second.units + 1) / 2) breaks("wrong_place", ref + " is not scattered");
+  if (spec->second.scatter && zones[site] > (spec->second.units + 1) / 2)
+    breaks("wrong_place", ref + " is not scattered");
   const Team* team = settings_.team(spec->second.owner);
   if (team != nullptr && team->cores_max > 0 && cores > team->cores_max + 1e-6) breaks("quota", team->name);
   const auto cancelled = cancelled_at_.find(ref);
--- a/tests/standins/world.cpp
+++ b/tests/standins/world.cpp
@@ -20,7 +20,9 @@
 const std::vector<Type> kTypes = {{"small", 16, 64, 30, 1, 1, 0.3, 8, {"a", "b"}, 6, 3},
                                   {"large", 64, 256, 50, 1, 4, 1.1, 12, {"a"}, 3, 2}};
 
-Response reply(int status, const Value& body) { return {status, encode(body), 0}; }
+Response reply(int status, const Value& body) {
+  return {status, encode(body), 0};
+}
 
 std::string query(const std::string& target, const std::string& name) {
   auto at = target.find(name + "=");
@@ -35,11 +37,13 @@
 
 class World::NodeRuntime : public Runtime {
  public:
-  NodeRuntime(World& w, std::string name, double drift) : random_(w.random()()), w_(w), name_(std::move(name)), drift_(drift) {}
+  NodeRuntime(World& w, std::string name, double drift)
+      : random_(w.random()()), w_(w), name_(std::move(name)), drift_(drift) {}
   bool alive = true;
 
   Instant now() const override {
-    return Instant{Micros{static_cast<std::int64_t>(static_cast<double>(w_.now().time_since_epoch().count()) * drift_)}};
+    return Instant{
+        Micros{static_cast<std::int64_t>(static_cast<double>(w_.now().time_since_epoch().count()) * drift_)}};
   }
   WallTime wall() const override { return WallTime{w_.now().time_since_epoch() + from_seconds(1e9)}; }
   std::mt19937_64& random() override { return random_; }
@@ -66,7 +70,8 @@
   std::string name;
   NodeRuntime runtime;
   Controller controller;
-  Node(World& w, const std::string& n, double drift, const Settings& s) : name(n), runtime(w, n, drift), controller(runtime, s) {}
+  Node(World& w, const std::string& n, double drift, const Settings& s)
+      : name(n), runtime(w, n, drift), controller(runtime, s) {}
 };
 
 struct World::Task {
@@ -175,7 +180,9 @@
 
 World::World(std::uint64_t seed, Settings settings)
     : base_(std::move(settings)), checker(base_), random_(seed), store_(std::make_unique<Store>()) {
-  handlers_[kState] = [this](const std::string& from, const Request& r, const Answer& a) { serve_state(from, r, a); };
+  handlers_[kState] = [this](const std::string& from, const Request& r, const Answer& a) {
+    serve_state(from, r, a);
+  };
   handlers_[kCloud] = [this](const std::string&, const Request& r, const Answer& a) { serve_cloud(r, a); };
   names_[kState] = "state";
   names_[kCloud] = "cloud";
@@ -201,8 +208,12 @@
   nodes_[static_cast<std::size_t>(i)] = std::make_unique<Node>(*this, name, 1.0 + uniform(0, 0.0005), s);
   Node* n = nodes_[static_cast<std::size_t>(i)].get();
   names_[client(i)] = names_[peer(i)] = name;
-  handlers_[client(i)] = [n](const std::string&, const Request& r, const Answer& a) { n->controller.serve_client(r, a); };
-  handlers_[peer(i)] = [n](const std::string&, const Request& r, const Answer& a) { n->controller.serve_peer(r, a); };
+  handlers_[client(i)] = [n](const std::string&, const Request& r, const Answer& a) {
+    n->controller.serve_client(r, a);
+  };
+  handlers_[peer(i)] = [n](const std::string&, const Request& r, const Answer& a) {
+    n->controller.serve_peer(r, a);
+  };
   n->controller.start();
 }
 
@@ -230,7 +241,9 @@
   now_ = end;
 }
 
-Micros World::delay() { return Micros{static_cast<std::int64_t>(uniform(200, pick(100) == 0 ? 300000 : 4000))}; }
+Micros World::delay() {
+  return Micros{static_cast<std::int64_t>(uniform(200, pick(100) == 0 ? 300000 : 4000))};
+}
 
 Cut World::link(const std::string& a, const std::string& b) const {
   const auto it = cuts_.find(a < b ? std::pair(a, b) : std::pair(b, a));
@@ -388,7 +401,8 @@
     if (it == s.keys.end()) {
       answer(reply(404, Value::Map{{"ledger_rev", s.revision}}));
     } else {
-      answer(reply(200, Value::Map{{"k", it->first}, {"value", it->second.value}, {"stamp", it->second.stamp}}));
+      answer(
+          reply(200, Value::Map{{"k", it->first}, {"value", it->second.value}, {"stamp", it->second.stamp}}));
     }
   } else if (r.method == "GET" && r.target.starts_with("/store?")) {
     const std::string prefix = query(r.target, "starts");
@@ -402,11 +416,14 @@
         more = true;
         break;
       }
-      rows.emplace_back(Value::Map{{"k", it->first}, {"value", it->second.value}, {"stamp", it->second.stamp}});
+      rows.emplace_back(
+          Value::Map{{"k", it->first}, {"value", it->second.value}, {"stamp", it->second.stamp}});
     }
-    answer(reply(200, Value::Map{{"rows", std::move(rows)}, {"truncated", more}, {"ledger_rev", s.revision}}));
+    answer(
+        reply(200, Value::Map{{"rows", std::move(rows)}, {"truncated", more}, {"ledger_rev", s.revision}}));
   } else if (r.method == "GET" && r.target.starts_with("/follow?")) {
-    s.follows.push_back({from, query(r.target, "starts"), std::strtoull(query(r.target, "from").c_str(), nullptr, 10),
+    s.follows.push_back({from, query(r.target, "starts"),
+                         std::strtoull(query(r.target, "from").c_str(), nullptr, 10),
                          now_ + millis(std::atoi(query(r.target, "hold_ms").c_str())), answer});
     wake_follows();
   } else if (r.target == "/multi" && body) {
@@ -417,12 +434,14 @@
     }
     for (const Value& c : *(*body)["apply"].list()) {
       const auto t = c["tenancy"].count();
-      if ((t && !s.holds.contains(*t)) || c["value"].json_size() > static_cast<std::size_t>(base_.value_kb * 1024)) {
+      if ((t && !s.holds.contains(*t)) ||
+          c["value"].json_size() > static_cast<std::size_t>(base_.value_kb * 1024)) {
         answer({400, {}, 0});
         return;
       }
     }
-    if ((*body)["apply"].list()->size() > base_.txn_ops || (*body)["when"].list()->size() > 4 * base_.txn_ops) {
+    if ((*body)["apply"].list()->size() > base_.txn_ops ||
+        (*body)["when"].list()->size() > 4 * base_.txn_ops) {
       answer({400, {}, 0});
       return;
     }
@@ -474,9 +493,16 @@
     for (const Type& t : kTypes) {
       Value::List sites;
       for (const std::string& z : t.sites) sites.emplace_back(z);
-      types.emplace_back(Value::Map{{"name", t.name}, {"cores", t.cores}, {"cards", 0}, {"memory_gb", t.memory},
-                                    {"cache_gb", t.cache}, {"pull_gb_per_s", t.pull}, {"rate", t.rate},
-                                    {"low_price", t.low}, {"boot_s", t.boot}, {"sites", std::move(sites)}});
+      types.emplace_back(Value::Map{{"name", t.name},
+                                    {"cores", t.cores},
+                                    {"cards", 0},
+                                    {"memory_gb", t.memory},
+                                    {"cache_gb", t.cache},
+                                    {"pull_gb_per_s", t.pull},
+                                    {"rate", t.rate},
+                                    {"low_price", t.low},
+                                    {"boot_s", t.boot},
+                                    {"sites", std::move(sites)}});
     }
     answer(reply(200, Value::Map{{"flavors", std::move(types)}}));
   } else if (r.target == "/rentals" && body) {
@@ -488,7 +514,8 @@
       const bool spot = *(*body)["standby"].boolean();
       for (std::uint64_t i = 0; i < (*body)["count"].count().value_or(0); ++i) {
         int there = 0;
-        for (const auto& [ref, m] : machines_) there += m->flavor == flavor && m->site == site && m->standby == spot;
+        for (const auto& [ref, m] : machines_)
+          there += m->flavor == flavor && m->site == site && m->standby == spot;
         const Type& t = flavor == kTypes[0].name ? kTypes[0] : kTypes[1];
         if (there >= (spot ? t.spot : t.ordinary)) break;
         // Now and then one never comes up.
@@ -591,8 +618,9 @@
     }
     units.emplace_back(std::move(u));
   }
-  Value::Map r{{"host", m.ref},     {"addr", m.addr},     {"flavor", m.flavor}, {"site", m.site}, {"standby", m.standby},
-               {"tenure", m.tenure}, {"serial", ++m.serial}, {"epoch", m.epoch},   {"units", std::move(units)}};
+  Value::Map r{{"host", m.ref},        {"addr", m.addr},       {"flavor", m.flavor},
+               {"site", m.site},       {"standby", m.standby}, {"tenure", m.tenure},
+               {"serial", ++m.serial}, {"epoch", m.epoch},     {"units", std::move(units)}};
   if (m.taken_at) r.emplace_back("warning_s", to_seconds(*m.taken_at - now_));
   return r;
 }
@@ -657,7 +685,8 @@
         t.status = "ended";
         t.cause = "no_room";
       } else {
-        t.next = now_ + (m.images.contains(spec->second.bundle) ? Micros{0} : from_seconds(spec->second.image_gb));
+        t.next =
+            now_ + (m.images.contains(spec->second.bundle) ? Micros{0} : from_seconds(spec->second.image_gb));
       }
       m.tasks.push_back(std::move(t));
       m.next_report = std::min(m.next_report, now_);
@@ -673,30 +702,32 @@
   m.next_report = now_ + from_seconds(to_seconds(base_.report) * uniform(0.75, 1.25));
   const std::uint64_t tenure = m.tenure;
   const Endpoint to = "10.0.0." + std::to_string(m.node + 1) + ":8080";
-  send(host, to, {"POST", "/hello", encode(describe(m))}, from_seconds(4), [this, host, sent, tenure](const Outcome& o) {
-    Machine* x = machine(host);
-    if (x == nullptr || x->dead) return;
-    x->reporting = false;
-    if (now_ < x->hung_until) return;  // dropped: by the time it resumes the answer is too old
-    const auto v = decode(o.response.body);
-    if (o.answered && o.response.status == 200 && v) {
-      const auto epoch = (*v)["epoch"].count();
-      if (!epoch || *epoch < x->epoch || tenure != x->tenure) return;
-      if (*epoch > x->epoch) x->next_report = now_;
-      x->epoch = *epoch;
-      x->lease_from = sent;
-      execute(*x, (*v)["orders"]);
-      return;
-    }
-    const std::string* up = v ? (*v)["upstream"].text() : nullptr;
-    if (o.answered && o.response.status == 421 && up != nullptr && *up != "c" + std::to_string(x->node)) {
-      x->node = (*up)[1] - '0';
-      x->next_report = now_;
-    } else {
-      x->node = (x->node + 1) % 3;
-      x->next_report = now_ + from_seconds(1);
-    }
-  });
+  send(
+      host, to, {"POST", "/hello", encode(describe(m))}, from_seconds(4),
+      [this, host, sent, tenure](const Outcome& o) {
+        Machine* x = machine(host);
+        if (x == nullptr || x->dead) return;
+        x->reporting = false;
+        if (now_ < x->hung_until) return;  // dropped: by the time it resumes the answer is too old
+        const auto v = decode(o.response.body);
+        if (o.answered && o.response.status == 200 && v) {
+          const auto epoch = (*v)["epoch"].count();
+          if (!epoch || *epoch < x->epoch || tenure != x->tenure) return;
+          if (*epoch > x->epoch) x->next_report = now_;
+          x->epoch = *epoch;
+          x->lease_from = sent;
+          execute(*x, (*v)["orders"]);
+          return;
+        }
+        const std::string* up = v ? (*v)["upstream"].text() : nullptr;
+        if (o.answered && o.response.status == 421 && up != nullptr && *up != "c" + std::to_string(x->node)) {
+          x->node = (*up)[1] - '0';
+          x->next_report = now_;
+        } else {
+          x->node = (x->node + 1) % 3;
+          x->next_report = now_ + from_seconds(1);
+        }
+      });
 }
 
 void World::step_machines() {
@@ -706,9 +737,16 @@
   if (lists_.empty() || now_ - lists_.back().first >= from_seconds(1)) {
     Value::List list;
     for (const auto& [ref, m] : machines_) {
-      const char* status = m->dead && now_ - m->died > from_seconds(20) ? "failed" : m->up ? "running" : "starting";
-      list.emplace_back(Value::Map{{"ref", ref}, {"addr", m->addr}, {"flavor", m->flavor}, {"site", m->site},
-                                   {"standby", m->standby}, {"status", status}, {"held_s", to_seconds(now_ - m->rented)}});
+      const char* status = m->dead && now_ - m->died > from_seconds(20) ? "failed"
+                           : m->up                                      ? "running"
+                                                                        : "starting";
+      list.emplace_back(Value::Map{{"ref", ref},
+                                   {"addr", m->addr},
+                                   {"flavor", m->flavor},
+                                   {"site", m->site},
+                                   {"standby", m->standby},
+                                   {"status", status},
+                                   {"held_s", to_seconds(now_ - m->rented)}});
     }
     lists_.emplace_back(now_, Value::Map{{"hosts", std::move(list)}, {"truncated", false}});
     if (lists_.size() > 40) lists_.pop_front();
@@ -859,9 +897,10 @@
 
 std::optional<Response> World::ask(int controller, const Request& request, Micros within) {
   auto out = std::make_shared<std::optional<Response>>();
-  send("user", "10.0.0." + std::to_string(controller + 1) + ":8080", request, within, [out](const Outcome& o) {
-    if (o.answered) *out = o.response;
-  });
+  send("user", "10.0.0." + std::to_string(controller + 1) + ":8080", request, within,
+       [out](const Outcome& o) {
+         if (o.answered) *out = o.response;
+       });
   const Instant end = now_ + within;
   while (!out->has_value() && now_ < end) run(millis(10));
   return *out;
--- a/tests/standins/world.hpp
+++ b/tests/standins/world.hpp
@@ -1,6 +1,6 @@
 #pragma once
-// A simulated world for whole controllers: clock, network, state service, cloud, workers and users. One thread, one
-// queue of events, one seed: a day repeats exactly.
+// A simulated world for whole controllers: clock, network, state service, cloud, workers and users. One
+// thread, one queue of events, one seed: a day repeats exactly.
 
 #include <deque>
 #include <functional>
--- a/tests/world_test.cpp
+++ b/tests/world_test.cpp
@@ -1,10 +1,11 @@
-// Whole controllers in simulated time: ordinary days, every trouble of the brief, and random mixtures of them.
+// Whole controllers in simulated time: ordinary days, every trouble of the brief, and random mixtures of
+// them.
+
+#include "standins/world.hpp"
 
 #include <gtest/gtest.h>
 #include <spdlog/spdlog.h>
 
-#include "standins/world.hpp"
-
 using namespace standins;
 
 namespace {
@@ -15,7 +16,9 @@
   return out;
 }
 
-void expect_kept(const World& w) { EXPECT_TRUE(w.checker.broken().empty()) << notes(w); }
+void expect_kept(const World& w) {
+  EXPECT_TRUE(w.checker.broken().empty()) << notes(w);
+}
 
 /// A few jobs over the first minute, so that something runs when a trouble comes.
 void ordinary_load(World& w, int jobs = 10) {
@@ -39,47 +42,58 @@
 
 std::vector<Trouble> troubles() {
   return {
-      {"state_outage", [](World& w) {
+      {"state_outage",
+       [](World& w) {
          w.state_outage(true);
          w.at(from_seconds(20), [&w] { w.state_outage(false); });
        }},
-      {"state_refuses_one", [](World& w) {
+      {"state_refuses_one",
+       [](World& w) {
          const int c = w.pick(3);
          w.state_refuses(c, true);
          w.at(from_seconds(25), [&w, c] { w.state_refuses(c, false); });
        }},
-      {"cloud_outage", [](World& w) {
+      {"cloud_outage",
+       [](World& w) {
          w.cloud_outage(true);
          w.at(from_seconds(30), [&w] { w.cloud_outage(false); });
        }},
       {"one_crash", [](World& w) { w.crash(w.pick(3), from_seconds(3)); }},
-      {"all_crash", [](World& w) {
+      {"all_crash",
+       [](World& w) {
          for (int i = 0; i < 3; ++i) w.crash(i, from_seconds(3));
        }},
-      {"rolling_restart", [](World& w) {
+      {"rolling_restart",
+       [](World& w) {
          for (int i = 0; i < 3; ++i) w.at(from_seconds(8 * i), [&w, i] { w.crash(i, from_seconds(3)); });
        }},
-      {"controller_cut_hold", [](World& w) {
+      {"controller_cut_hold",
+       [](World& w) {
          w.isolate("c" + std::to_string(w.pick(3)), Cut::hold);
          w.at(from_seconds(25), [&w] { w.heal(); });
        }},
-      {"controller_cut_reset", [](World& w) {
+      {"controller_cut_reset",
+       [](World& w) {
          w.isolate("c" + std::to_string(w.pick(3)), Cut::reset);
          w.at(from_seconds(25), [&w] { w.heal(); });
        }},
-      {"controller_cut_but_for_the_store", [](World& w) {
+      {"controller_cut_but_for_the_store",
+       [](World& w) {
          w.isolate("c" + std::to_string(w.pick(3)), Cut::hold, {"state"});
          w.at(from_seconds(25), [&w] { w.heal(); });
        }},
-      {"controller_cut_from_the_store", [](World& w) {
+      {"controller_cut_from_the_store",
+       [](World& w) {
          w.cut("c" + std::to_string(w.pick(3)), "state", Cut::hold);
          w.at(from_seconds(25), [&w] { w.heal(); });
        }},
       {"machine_dies", [](World& w) { random_host(w, [&](const std::string& h) { w.die(h); }); }},
-      {"machine_hangs", [](World& w) {
+      {"machine_hangs",
+       [](World& w) {
          random_host(w, [&](const std::string& h) { w.hang(h, from_seconds(w.uniform(2, 30))); });
        }},
-      {"spot_wave", [](World& w) {
+      {"spot_wave",
+       [](World& w) {
          for (const std::string& h : w.hosts()) {
            if (w.pick(2) == 0) w.take(h, from_seconds(w.pick(4) == 0 ? 0 : 8));
          }
@@ -122,7 +136,8 @@
       w.at(from_seconds(40), [&] { a.strike(w); });
       w.at(from_seconds(w.uniform(40, 46)), [&] { b.strike(w); });
       w.run(from_seconds(400));
-      EXPECT_TRUE(w.checker.broken().empty()) << a.name << " and " << b.name << ", seed " << seed << "\n" << notes(w);
+      EXPECT_TRUE(w.checker.broken().empty()) << a.name << " and " << b.name << ", seed " << seed << "\n"
+                                              << notes(w);
       EXPECT_EQ(w.live(), 0U) << a.name << " and " << b.name << ", seed " << seed;
     }
   }
