--- a/include/wrenusher/ledger.hpp
+++ b/include/wrenusher/ledger.hpp
@@ -186,7 +186,7 @@
   std::map<std::string, Machine> machines_;
   std::set<std::string> dirty_;
   std::vector<std::string> leftovers_;  ///< blocks of jobs that are over
-  std::map<std::string, planner::TeamUse> teams_;
+  std::map<std::string, Needs> teams_;  ///< what each team's claims use
   std::set<std::string> exhausted_;
   /// Types that some job needs because it fits no other: until when they are kept for such jobs.
   std::map<std::string, Instant> sought_until_;
--- a/include/wrenusher/planner.hpp
+++ b/include/wrenusher/planner.hpp
@@ -35,17 +35,12 @@
   const std::map<std::string, std::uint64_t>* images = nullptr;  ///< cached or on their way
 };
 
-/// A team's use, claimed or running, against its guarantee and ceiling.
-struct TeamUse {
-  Needs used;
-};
-
 struct Snapshot {
   WallTime now{};
   Instant clock{};
   std::vector<PlanJob> jobs;
   std::vector<PlanHost> hosts;
-  std::map<std::string, TeamUse> teams;
+  std::map<std::string, Needs> teams;  ///< what each team's claims use
   const Settings* settings = nullptr;
 };
 
--- a/include/wrenusher/range_set.hpp
+++ b/include/wrenusher/range_set.hpp
@@ -20,8 +20,6 @@
   std::uint32_t size() const { return size_; }
   std::optional<std::uint32_t> first() const;
   const std::map<std::uint32_t, std::uint32_t>& ranges() const { return ranges_; }
-  /// How many of its numbers lie between `first` and `last`, both included.
-  std::uint32_t count_in(std::uint32_t first, std::uint32_t last) const;
 
   /// [first, last, first, last, ...] of the part between `first` and `last`, both included.
   Value write(std::uint32_t first, std::uint32_t last) const;
--- a/src/ledger.cpp
+++ b/src/ledger.cpp
@@ -266,14 +266,14 @@
   job.claims.emplace(task, std::move(c));
   job.last_try = std::max(job.last_try, attempt);
   machine(host).claims.emplace(job.rec.spec.ref, task);
-  teams_[job.rec.spec.owner].used += job.rec.spec.needs;
+  teams_[job.rec.spec.owner] += job.rec.spec.needs;
 }
 
 void Ledger::unclaim(Job& job, std::uint32_t task) {
   const auto it = job.claims.find(task);
   if (it == job.claims.end()) return;
   machine(it->second.host).claims.erase({job.rec.spec.ref, task});
-  teams_[job.rec.spec.owner].used -= job.rec.spec.needs;
+  teams_[job.rec.spec.owner] -= job.rec.spec.needs;
   job.claims.erase(it);
   touch(job, task);
 }
--- a/src/planner.cpp
+++ b/src/planner.cpp
@@ -25,7 +25,7 @@
   const Team* team = s.settings->team(owner);
   if (team == nullptr) return {};
   Needs used;
-  if (const auto it = s.teams.find(owner); it != s.teams.end()) used = it->second.used;
+  if (const auto it = s.teams.find(owner); it != s.teams.end()) used = it->second;
   if (team->cores_max > 0) left.cores = to_amount(team->cores_max) - used.cores;
   if (team->cards_max > 0) left.cards = to_amount(team->cards_max) - used.cards;
   return left;
@@ -35,7 +35,7 @@
   const Team* team = s.settings->team(spec.owner);
   if (team == nullptr || (team->cores <= 0 && team->cards <= 0)) return false;
   Needs used;
-  if (const auto it = s.teams.find(spec.owner); it != s.teams.end()) used = it->second.used;
+  if (const auto it = s.teams.find(spec.owner); it != s.teams.end()) used = it->second;
   used += spec.needs;
   return used.cores <= to_amount(team->cores) && used.cards <= to_amount(team->cards);
 }
@@ -243,7 +243,7 @@
       break;
     }
     // What is short counts against the ceiling too: it will be used as soon as there is room.
-    s.teams[spec.owner].used += spec.needs * want;
+    s.teams[spec.owner] += spec.needs * want;
     if (placed < want) plan.shortages.push_back({j, want - placed});
   }
   return plan;
--- a/src/range_set.cpp
+++ b/src/range_set.cpp
@@ -42,15 +42,6 @@
   return ranges_.begin()->first;
 }
 
-std::uint32_t RangeSet::count_in(std::uint32_t first, std::uint32_t last) const {
-  std::uint32_t n = 0;
-  for (const auto& [a, b] : ranges_) {
-    if (a > last) break;
-    if (b >= first) n += std::min(b, last) - std::max(a, first) + 1;
-  }
-  return n;
-}
-
 Value RangeSet::write(std::uint32_t first, std::uint32_t last) const {
   Value::List out;
   for (const auto& [a, b] : ranges_) {
--- a/tests/planner_test.cpp
+++ b/tests/planner_test.cpp
@@ -126,12 +126,12 @@
           w.host(*rc::gen::arbitrary<bool>() ? w.small : w.large, *rc::gen::element<std::string>("a", "b"));
       h.standby = *rc::gen::arbitrary<bool>();
     }
-    w.s.teams["red"].used.cores = to_amount(*rc::gen::element(0.0, 40.0, 64.0));
+    w.s.teams["red"].cores = to_amount(*rc::gen::element(0.0, 40.0, 64.0));
     const Plan p = place(w.s);
     std::vector<Needs> used(w.s.hosts.size());
     std::map<std::size_t, std::map<std::string, std::uint32_t>> zones;
     std::map<std::size_t, std::uint32_t> placed;
-    Needs red = w.s.teams["red"].used;
+    Needs red = w.s.teams["red"];
     for (const Placement& x : p.placements) {
       const JobSpec& spec = *w.s.jobs[x.job].spec;
       const PlanHost& h = w.s.hosts[x.host];
