--- a/include/wrenusher/controller.hpp
+++ b/include/wrenusher/controller.hpp
@@ -20,6 +20,8 @@
   /// A request on `peer_listen`.
   void serve_peer(const Request& request, const Answer& answer) { peer_.serve(request, answer); }
 
+  bool certain() const { return leadership_.certain(); }
+
  private:
   Settings settings_;
   Store store_;
--- a/include/wrenusher/leadership.hpp
+++ b/include/wrenusher/leadership.hpp
@@ -51,6 +51,9 @@
   void on_deposed(const Deposed& d);
   void on_hearing(const Hearing& h);
 
+  /// Leads, and may be sure that nobody else does.
+  bool certain() const { return leading_ && rt_.now() < certain_until_; }
+
   Sink<TermChanged> changed;
   Sink<Certainty> certainty;
 
--- a/tests/standins/checker.hpp
+++ b/tests/standins/checker.hpp
@@ -28,6 +28,10 @@
                const std::string& flavor, const std::string& site, bool standby);
   void left(const std::string& ref, std::uint32_t task, const std::string& host);
   void completed(const std::string& ref, std::uint32_t task) { completed_[ref].insert(task); }
+  /// Not a rule of the protocol, but what several rules rest on.
+  void leaders(int certain) {
+    if (certain > 1) breaks("two_leaders", std::to_string(certain) + " nodes are certain to lead");
+  }
   /// To be called now and then: finds what lasts too long.
   void look(Instant now);
 
--- a/tests/world_test.cpp
+++ b/tests/world_test.cpp
@@ -315,6 +315,7 @@
     c.answered_poll(t0, j.ref, 200, "running");
   });
   caught("went_back", [&](Checker& c) { c.answered_poll(t0, j.ref, 200, "withdrawn"); });
+  caught("two_leaders", [&](Checker& c) { c.leaders(2); });
 }
 
 int main(int argc, char** argv) {
