--- a/include/wrenusher/ledger.hpp
+++ b/include/wrenusher/ledger.hpp
@@ -80,7 +80,6 @@
     std::uint64_t attempt = 0;
     std::uint64_t version = 0;
     Phase phase = Phase::fresh;
-    Instant since{};
     Instant running_since{};
     bool halt = false;
     Micros leeway{};
@@ -120,6 +119,8 @@
     std::map<std::string, std::uint64_t> images;             ///< bundle -> order of its last use
     std::map<std::string, double> image_gb;
     std::map<std::string, Instant> errors;  ///< job -> when its task failed here
+    /// Whether it may get new tasks.
+    bool usable() const { return current && !quiet && !condemned && !warned; }
   };
   struct Pending {
     std::vector<std::string> jobs;
@@ -139,6 +140,7 @@
   // Changes of the picture
   Job* find(const std::string& ref);
   Machine& machine(const std::string& host);
+  void drop(const std::string& ref);
   void touch(Job& job, std::uint32_t task);
   void claim(Job& job, std::uint32_t task, const std::string& host, std::uint64_t attempt, Phase phase);
   void unclaim(Job& job, std::uint32_t task);
--- a/include/wrenusher/store.hpp
+++ b/include/wrenusher/store.hpp
@@ -58,8 +58,7 @@
   enum class Result { ok, too_old, failed };
   Result result = Result::failed;
   std::uint64_t revision = 0;
-  std::vector<Row> puts;
-  std::vector<std::string> deletes;
+  std::vector<Row> puts;  ///< deletes are left out: nobody asks for them
 };
 
 /// Whether the state service answered this node of late.
--- a/src/ledger.cpp
+++ b/src/ledger.cpp
@@ -219,11 +219,7 @@
                   }
                 }
                 if (!alive) {  // our final write had been executed after all
-                  for (auto it = job->claims.begin(); it != job->claims.end(); it = job->claims.begin()) {
-                    unclaim(*job, it->first);
-                  }
-                  dirty_.erase(ref);
-                  jobs_.erase(ref);
+                  drop(ref);
                   return;
                 }
                 for (std::size_t i = 0; i < stamps.size(); ++i) job->blocks[i].stamp = stamps[i];
@@ -239,6 +235,14 @@
   return it == jobs_.end() ? nullptr : &it->second;
 }
 
+/// The job is over: nothing of it stays booked or remembered.
+void Ledger::drop(const std::string& ref) {
+  Job& job = jobs_.at(ref);
+  while (!job.claims.empty()) unclaim(job, job.claims.begin()->first);
+  dirty_.erase(ref);
+  jobs_.erase(ref);
+}
+
 Ledger::Machine& Ledger::machine(const std::string& host) {
   return machines_[host];
 }
@@ -262,7 +266,6 @@
   c.attempt = attempt;
   c.version = clock_;
   c.phase = phase;
-  c.since = rt_.now();
   job.claims.emplace(task, std::move(c));
   job.last_try = std::max(job.last_try, attempt);
   machine(host).claims.emplace(job.rec.spec.ref, task);
@@ -475,7 +478,6 @@
   }
 
   // Claims that the report does not show.
-  const bool usable = m.current && !m.condemned && !m.warned;
   const auto booked = m.claims;
   for (const auto& [ref, task] : booked) {
     if (listed.contains({ref, task})) continue;
@@ -485,7 +487,7 @@
       // Starts go out in responses to reports alone, so this report settles every earlier one; the answer to
       // /orders does not.
       if (!in.settled || !m.current) continue;
-      if (c.halt || !usable) {
+      if (c.halt || !m.usable()) {
         release(job, task, "not started");
       } else if (committed(job, task, c.version)) {
         orders.push_back({Order::Verb::run, ref, task, c.attempt, Micros{0}});
@@ -603,10 +605,7 @@
   }
   for (auto& [name, m] : machines_) {
     const auto flavor = catalog_->find(m.flavor);
-    if (!m.current || m.quiet || m.condemned || m.warned || flavor == catalog_->end() ||
-        s.clock < m.full_until) {
-      continue;
-    }
+    if (!m.usable() || flavor == catalog_->end() || s.clock < m.full_until) continue;
     planner::PlanHost h;
     h.name = name;
     h.site = m.site;
@@ -689,8 +688,8 @@
     w.demands.push_back({*j.spec, sh.tasks, j.estimate, j.keep_off});
   }
   for (const auto& [name, m] : machines_) {
-    w.hosts.push_back({name, m.flavor, m.site, m.standby, m.current && !m.quiet && !m.condemned && !m.warned,
-                       static_cast<std::uint32_t>(m.claims.size())});
+    w.hosts.push_back(
+        {name, m.flavor, m.site, m.standby, m.usable(), static_cast<std::uint32_t>(m.claims.size())});
   }
   workload(w);
 }
@@ -804,11 +803,7 @@
         if (job == nullptr) continue;
         spdlog::info("job {} ({}) is {} after {:.1f} s", ref, job->rec.spec.queue,
                      job->rec.withdrawn ? "withdrawn" : "done", to_seconds(rt_.wall() - job->rec.accepted));
-        for (auto it = job->claims.begin(); it != job->claims.end(); it = job->claims.begin()) {
-          unclaim(*find(ref), it->first);
-        }
-        dirty_.erase(ref);
-        jobs_.erase(ref);
+        drop(ref);
       }
       flush();
       return;
--- a/src/planner.cpp
+++ b/src/planner.cpp
@@ -107,7 +107,7 @@
   if (aims.empty()) return {};
   for (const Micros& aim : aims) {
     const Micros left = job.accepted + aim - now - job.estimate;
-    // Estimates are often off by half: only what lacks half its run time is given up.
+    // Estimates are off, so an aim is given up only once it is missed by an eighth of the run time.
     if (left < -job.estimate / 8) continue;
     if (left < kPressed) return {Standing::pressed, left};
     return {};
@@ -295,9 +295,9 @@
       if (r.spec->urgency <= spec.urgency || !usable(r.host)) continue;
       Needs freed = room[r.host];
       freed += r.spec->needs;
+      const std::uint32_t gain = count_fitting(spec.needs, freed, left);
       // Not a large task for a small one.
-      if ((spec.needs * count_fitting(spec.needs, freed, left)).cores * 2 < r.spec->needs.cores) continue;
-      if (count_fitting(spec.needs, freed, left) == 0) continue;
+      if (gain == 0 || (spec.needs * gain).cores * 2 < r.spec->needs.cores) continue;
       room[r.host] = freed;
       out.push_back(v);
       v = running.size();
--- a/src/provisioner.cpp
+++ b/src/provisioner.cpp
@@ -21,6 +21,10 @@
 /// So many failed calls in a row are an outage.
 constexpr int kTroubled = 3;
 
+bool no_capacity(const Outcome& o) {
+  return o.answered && o.response.status == 503 && o.response.body.find("no capacity") != std::string::npos;
+}
+
 }  // namespace
 
 Provisioner::Provisioner(Runtime& rt, const Settings& settings, Store& store)
@@ -67,9 +71,7 @@
   auto send = [this, request = std::move(request), done = std::move(done)]() mutable {
     rt_.fetch(
         settings_.cloud, std::move(request), kTimeout, [this, done = std::move(done)](const Outcome& o) {
-          const bool no_capacity = o.answered && o.response.status == 503 &&
-                                   o.response.body.find("no capacity") != std::string::npos;
-          if (!o.answered || o.response.status == 429 || (o.response.status == 503 && !no_capacity)) {
+          if (!o.answered || o.response.status == 429 || (o.response.status == 503 && !no_capacity(o))) {
             troubles_ = std::min(troubles_ + 1, 5);
             if (troubles_ == kTroubled) spdlog::warn("the cloud gives no answers");
             cloud_not_before_ = rt_.now() + millis(300) * troubles_ + rt_.jitter(millis(300) * troubles_);
@@ -262,7 +264,7 @@
       open_bookings_.erase(it);
       return;
     }
-    if (o.answered && o.response.status == 503 && o.response.body.find("no capacity") != std::string::npos) {
+    if (no_capacity(o)) {
       spdlog::info("no capacity for {} {} in {}", kind.standby ? "spot" : "ordinary", kind.flavor, kind.site);
       refused_until_[kind] = rt_.now() + kRefusedPause;
       open_bookings_.erase(it);
--- a/src/store.cpp
+++ b/src/store.cpp
@@ -282,11 +282,7 @@
                  f.result = FollowReply::Result::ok;
                  f.revision = revision_of(*v);
                  for (const Value& e : *(*v)["events"].list()) {
-                   if (const std::string* k = e["delete"].text()) {
-                     f.deletes.push_back(*k);
-                   } else {
-                     f.puts.push_back(read_row(e, "put"));
-                   }
+                   if (e["put"].text() != nullptr) f.puts.push_back(read_row(e, "put"));
                  }
                }
              }
