--- a/include/wrenusher/estimator.hpp
+++ b/include/wrenusher/estimator.hpp
@@ -34,7 +34,11 @@
   /// The last jobs of each queue, one entry a job however many tasks it has: a job's tasks share the error of
   /// its estimate, so one large job must not pass for many.
   std::map<std::string, std::deque<Seen>> queues_;
-  std::map<std::string, std::deque<double>> hosts_;
+  struct Host {
+    std::deque<double> ratios;
+    double speed = 1.0;  ///< what they say; asked for far more often than they change
+  };
+  std::map<std::string, Host> hosts_;
 };
 
 }  // namespace wrenusher
--- a/include/wrenusher/frontdesk.hpp
+++ b/include/wrenusher/frontdesk.hpp
@@ -21,6 +21,7 @@
   void serve(const Request& request, const Answer& answer);
 
   void on_catalog(const CatalogSeen& c) { catalog_ = c.catalog; }
+  void on_progress(const std::shared_ptr<const Progress>& p);
   void on_peer(const PeerNews& news);
 
   Sink<JobWithdrawn> withdrawn;
@@ -49,6 +50,8 @@
   Store& store_;
   std::shared_ptr<const Catalog> catalog_;
   std::map<std::string, std::pair<Instant, bool>> peers_;
+  /// Done and running tasks of live jobs.
+  std::unordered_map<std::string, std::pair<std::uint64_t, std::uint64_t>> counts_;
   /// Final states never change, so an old answer is as good as a new one.
   std::unordered_map<std::string, State> finals_;
   std::deque<std::string> finals_order_;
--- a/include/wrenusher/ledger.hpp
+++ b/include/wrenusher/ledger.hpp
@@ -3,6 +3,7 @@
 
 #include <memory>
 #include <set>
+#include <tuple>
 #include <unordered_map>
 
 #include "wrenusher/estimator.hpp"
@@ -57,11 +58,12 @@
   void on_quiet(const HostQuiet& q);
   void on_gone(const HostGone& g);
   void on_condemned(const HostCondemned& c);
-  void on_catalog(const CatalogSeen& c) { catalog_ = c.catalog; }
+  void on_catalog(const CatalogSeen& c);
   void on_withdrawn(const JobWithdrawn& w);
-  void on_capacity(const CapacitySeen& c) { exhausted_ = c.exhausted; }
+  void on_capacity(const CapacitySeen& c);
 
-  Sink<Workload> workload;
+  Sink<std::shared_ptr<const Workload>> workload;
+  Sink<std::shared_ptr<const Progress>> progress;
   Sink<DirectOrders> direct;
   Sink<Deposed> deposed;
   Sink<HostCondemned> suspect;
@@ -75,21 +77,31 @@
     running,
     saving
   };
+  struct Machine;
   struct Claim {
-    std::string host;
+    Machine* at = nullptr;
     std::uint64_t attempt = 0;
     std::uint64_t version = 0;
     Phase phase = Phase::fresh;
     Instant running_since{};
     bool halt = false;
     Micros leeway{};
+    std::uint64_t shown = 0;  ///< the last report that listed it
   };
+  static constexpr std::uint32_t kNoSlot = UINT32_MAX;
+  /// Blocks with new claims are ranked by their job's urgency, before this; the rest is progress.
+  static constexpr int kProgressRank = 4;
+  /// A stretch of a job's tasks, written as a whole. How soon: new claims by urgency, then progress.
   struct Block {
-    std::uint64_t stamp = 0;      ///< 0: not in the store
-    std::uint64_t version = 0;    ///< of the last change in memory
-    std::uint64_t committed = 0;  ///< changes up to this one are in the store
+    std::uint32_t slot = kNoSlot;   ///< where its last committed state stands
+    std::uint64_t version = 0;      ///< of the last change in memory
+    std::uint64_t claimed = 0;      ///< of the last new claim
+    std::uint64_t committed = 0;    ///< changes up to this one are in the store
+    std::uint64_t dirty_since = 0;  ///< 0: nothing to write
+    int rank = 0;
   };
   struct Job {
+    std::uint64_t id = 0;  ///< rises with every job that is taken up, so that orders by it repeat
     records::JobRecord rec;
     std::uint64_t stamp = 0;
     std::vector<Block> blocks;
@@ -106,6 +118,7 @@
     int backoffs = 0;
   };
   struct Machine {
+    std::string name;
     std::string flavor;
     std::string site;
     bool standby = false;
@@ -115,61 +128,102 @@
     bool warned = false;
     std::uint64_t tenure = 0;
     Instant full_until{};
-    std::set<std::pair<std::string, std::uint32_t>> claims;  ///< (job, task) booked here
-    std::map<std::string, std::uint64_t> images;             ///< bundle -> order of its last use
+    Needs booked;                                                 ///< what its claims take
+    std::map<std::pair<std::uint64_t, std::uint32_t>, Job*> claims;  ///< (job id, task) booked here
+    std::map<std::string, std::uint32_t> pulling;                 ///< bundle -> tasks that wait for it
+    std::map<std::string, std::uint64_t> images;                  ///< bundle -> order of its last use
     std::map<std::string, double> image_gb;
     std::map<std::string, Instant> errors;  ///< job -> when its task failed here
     /// Whether it may get new tasks.
     bool usable() const { return current && !quiet && !condemned && !warned; }
   };
+  /// A value in the store that holds blocks. Blocks move: each is written to a free slot, and a slot is free again
+  /// once every block that stood in it stands in another.
+  struct Slot {
+    std::uint64_t stamp = 0;
+    std::uint32_t live = 0;
+    bool doubt = false;  ///< its stamp is being read anew
+  };
+  /// The answer to a report, kept back until what the report brought is committed.
+  struct Held {
+    std::shared_ptr<const WorkerReport> report;
+    std::function<void(std::vector<Order>)> reply;
+    Instant until{};
+    std::uint64_t plans = 0;  ///< made before it came
+  };
   struct Pending {
-    std::vector<std::string> jobs;
-    std::vector<std::pair<std::string, std::uint32_t>> blocks;
-    std::vector<std::uint64_t> versions;
+    struct Written {
+      std::string ref;
+      std::uint32_t block = 0;
+      std::uint64_t version = 0;
+      std::uint32_t slot = 0;
+    };
+    std::set<std::string> claiming;  ///< jobs whose root is among the conditions
+    std::vector<Written> blocks;
+    std::vector<std::uint32_t> slots;
     std::vector<std::string> finished;
   };
+  /// Where a block stands in the order of writing: rank, since when, job, block.
+  using DirtyKey = std::tuple<int, std::uint64_t, std::uint64_t, std::uint32_t>;
 
   // Takeover and news from the store
-  void load(const std::string& from, std::uint64_t revision, std::uint64_t term);
-  bool accept_row(const Row& row);
-  void loaded(std::uint64_t revision);
+  struct Loading;
+  void load(std::shared_ptr<Loading> l);
+  bool accept_job(const Row& row);
+  void accept_slot(Loading& l, const Row& row);
+  void loaded(Loading& l);
   void follow(std::uint64_t from, std::uint64_t term);
   void news(const FollowReply& f);
   void refresh(const std::string& ref);
+  void refresh_slot(std::uint32_t slot);
 
   // Changes of the picture
   Job* find(const std::string& ref);
   Machine& machine(const std::string& host);
   void drop(const std::string& ref);
-  void touch(Job& job, std::uint32_t task);
-  void claim(Job& job, std::uint32_t task, const std::string& host, std::uint64_t attempt, Phase phase);
+  void touch(Job& job, std::uint32_t task, bool claimed);
+  void rank_block(Job& job, std::uint32_t n);
+  void unrank_block(Job& job, std::uint32_t n);
+  void claim(Job& job, std::uint32_t task, Machine& m, std::uint64_t attempt, Phase phase);
   void unclaim(Job& job, std::uint32_t task);
+  void set_phase(const Job& job, Claim& c, Phase phase);
   void release(Job& job, std::uint32_t task, const char* why);
   void finish_task(Job& job, std::uint32_t task);
-  void fail_task(Job& job, Machine& m, const std::string& host, const UnitReport& u);
+  void fail_task(Job& job, Machine& m, const UnitReport& u);
   void mark_withdrawn(Job& job);
   void break_gang(Job& job);
+  void check_over(const Job& job);
   void show(Job& job, Claim& c, Machine& m, const UnitReport& u);
-  void settle_warning(Machine& m, const std::string& host, Micros left);
+  void settle_warning(Machine& m, Micros left);
   void use_image(Machine& m, const JobSpec& spec);
   bool committed(const Job& job, std::uint32_t task, std::uint64_t version) const;
   std::uint32_t block_of(const Job& job, std::uint32_t task) const { return task / job.rec.block; }
 
+  // Reports and their answers
+  static bool mine(const Job& job, const Machine& m, const UnitReport& u);
+  bool take_report(Machine& m, const WorkerReport& r, bool settled);
+  std::vector<Order> orders_for(Machine& m, const WorkerReport& r);
+  bool awaits_commit(const Machine& m, const WorkerReport& r);
+  void answer_held();
+
   // Rounds
   void tick();
+  void wake();
   void round();
   void plan();
+  planner::PlanHost plan_host(const Machine& m, const Flavor& f) const;
   void see_sought();
   void make_room(const planner::Snapshot& s, const std::vector<planner::Shortage>& shortages);
   std::set<std::string> keep_off(const Job& job, WallTime now) const;
   bool is_sought(const std::string& flavor) const;
   bool patience_over(const Job& job, WallTime now) const;
   void flush();
-  bool add_final(const std::string& ref, Job& job, std::vector<Condition>& when, std::vector<Change>& apply,
-                 Pending& pending);
+  void add_finals(std::vector<Condition>& when, std::vector<Change>& apply, Pending& pending);
   void settle(const Commit& c, const Pending& p, std::uint64_t term);
-  Value block_value(const Job& job, std::uint32_t n) const;
+  Value block_row(const Job& job, std::uint32_t n) const;
+  std::uint32_t free_slot(const std::vector<std::uint32_t>& taken);
   void publish(const planner::Snapshot& s, const planner::Plan& p);
+  void publish_progress();
 
   Runtime& rt_;
   const Settings& settings_;
@@ -183,11 +237,23 @@
   bool committing_ = false;
   Instant commit_not_before_{};
   std::uint64_t clock_ = 0;
-  unsigned publish_count_ = 0;
+  std::uint64_t jobs_taken_ = 0;
+  std::uint64_t reports_ = 0;
+  std::uint64_t plans_ = 0;
+  bool plan_needed_ = false;
+  bool woken_ = false;
+  Instant last_round_{};
+  Instant last_plan_{};
+  Instant last_make_room_{};
+  Instant next_publish_{};
+  Instant next_progress_{};
+  Instant progress_since_{};  ///< when the last commit left no progress behind
   std::unordered_map<std::string, Job> jobs_;
   std::map<std::string, Machine> machines_;
-  std::set<std::string> dirty_;
-  std::vector<std::string> leftovers_;  ///< blocks of jobs that are over
+  std::map<DirtyKey, Job*> dirty_;
+  std::set<std::string> over_;  ///< jobs whose final state is due to be written
+  std::vector<Slot> slots_;
+  std::map<std::string, Held> held_;
   std::map<std::string, Needs> teams_;  ///< what each team's claims use
   std::set<std::string> exhausted_;
   /// Types that some job needs because it fits no other: until when they are kept for such jobs.
--- a/include/wrenusher/peer.hpp
+++ b/include/wrenusher/peer.hpp
@@ -2,6 +2,7 @@
 // Heartbeats between controllers: epoch, leader, what each can reach, and cancellations just accepted.
 
 #include <deque>
+#include <memory>
 
 #include "wrenusher/leadership.hpp"
 
@@ -12,6 +13,16 @@
   std::string ref;
 };
 
+/// Task counts of the live jobs as the leader last told them, for display alone.
+struct Progress {
+  struct Row {
+    std::string ref;
+    std::uint64_t done = 0;
+    std::uint64_t running = 0;
+  };
+  std::vector<Row> rows;
+};
+
 class Peer {
  public:
   Peer(Runtime& rt, const Settings& settings);
@@ -23,9 +34,11 @@
   void on_health(const StoreHealth& h) { store_ = h.reachable; }
   void on_hearing(const Hearing& h) { hears_ = h.hears_workers; }
   void on_withdrawn(const JobWithdrawn& w);
+  void on_progress(const std::shared_ptr<const Progress>& p) { untold_ = p; }
 
   Sink<PeerNews> news;
   Sink<JobWithdrawn> withdrawn;
+  Sink<std::shared_ptr<const Progress>> progress;
 
  private:
   void beat();
@@ -39,6 +52,7 @@
   bool store_ = false;
   bool hears_ = false;
   std::deque<std::pair<Instant, std::string>> recent_;
+  std::shared_ptr<const Progress> untold_;  ///< goes out with the next beat
 };
 
 }  // namespace wrenusher
--- a/include/wrenusher/provisioner.hpp
+++ b/include/wrenusher/provisioner.hpp
@@ -16,7 +16,7 @@
 
   void on_term(const TermChanged& t);
   void on_certainty(const Certainty& c) { certain_until_ = c.until; }
-  void on_workload(const Workload& w);
+  void on_workload(const std::shared_ptr<const Workload>& w);
   void on_quiet(const HostQuiet& q);
   void on_suspect(const HostCondemned& c);
 
@@ -97,7 +97,7 @@
   std::map<std::string, Machine> machines_;
   std::set<std::string> to_return_;
   std::set<std::string> gone_;  ///< given back in this term
-  Workload load_;
+  std::shared_ptr<const Workload> load_;
 };
 
 }  // namespace wrenusher
--- a/include/wrenusher/store.hpp
+++ b/include/wrenusher/store.hpp
@@ -74,6 +74,10 @@
   bool take(double n, Instant now);
   /// Takes even what is not there: for calls that must not wait.
   void force(double n, Instant now);
+  double tokens(Instant now) {
+    refill(now);
+    return tokens_;
+  }
 
  private:
   void refill(Instant now);
@@ -84,7 +88,7 @@
 
 class Store {
  public:
-  /// Keep the hold; schedule; users. Users' calls are refused at once when the pace is used up.
+  /// Keep the hold; schedule; users. Users' calls are refused at once when too many wait.
   enum class Urgent { hold, schedule, user };
 
   Store(Runtime& rt, const Settings& settings);
@@ -103,6 +107,8 @@
   /// The leader does most of the work and so gets most of the pace.
   void leading(bool yes);
   bool reachable() const;
+  /// How many changes the pace takes now; none while other calls wait.
+  std::size_t writes_ready();
 
   Sink<StoreHealth> health;
 
@@ -120,7 +126,9 @@
   const Settings& settings_;
   Pace requests_;
   Pace writes_;
+  std::deque<Queued> user_queue_;
   std::deque<Queued> queue_;
+  bool users_turn_ = true;
   bool pumping_ = false;
   Instant last_good_{};
   bool ever_good_ = false;
--- a/src/controller.cpp
+++ b/src/controller.cpp
@@ -46,6 +46,9 @@
   wire(rt, fleet_.deposed, leadership_, &Leadership::on_deposed);
 
   wire(rt, ledger_.workload, provisioner_, &Provisioner::on_workload);
+  wire(rt, ledger_.progress, frontdesk_, &Frontdesk::on_progress);
+  wire(rt, ledger_.progress, peer_, &Peer::on_progress);
+  wire(rt, peer_.progress, frontdesk_, &Frontdesk::on_progress);
   wire(rt, ledger_.direct, fleet_, &Fleet::on_direct);
   wire(rt, ledger_.deposed, leadership_, &Leadership::on_deposed);
   wire(rt, ledger_.suspect, provisioner_, &Provisioner::on_suspect);
--- a/src/estimator.cpp
+++ b/src/estimator.cpp
@@ -49,8 +49,9 @@
   if (const Seen* s = seen(spec)) {
     // Against other tasks of the same job only the machine differs.
     auto& h = hosts_[host];
-    h.push_back(ratio - s->mean());
-    if (h.size() > kHostTasks) h.pop_front();
+    h.ratios.push_back(ratio - s->mean());
+    if (h.ratios.size() > kHostTasks) h.ratios.pop_front();
+    h.speed = std::clamp(std::exp(-cautious_median({h.ratios.begin(), h.ratios.end()}, kHostPrior)), 0.2, 1.5);
   }
   auto& queue = queues_[spec.queue];
   auto it = std::find_if(queue.begin(), queue.end(), [&](const Seen& s) { return s.ref == spec.ref; });
@@ -73,8 +74,7 @@
 
 double Estimator::speed(const std::string& host) const {
   const auto it = hosts_.find(host);
-  if (it == hosts_.end()) return 1.0;
-  return std::clamp(std::exp(-cautious_median({it->second.begin(), it->second.end()}, kHostPrior)), 0.2, 1.5);
+  return it == hosts_.end() ? 1.0 : it->second.speed;
 }
 
 }  // namespace wrenusher
--- a/src/frontdesk.cpp
+++ b/src/frontdesk.cpp
@@ -2,6 +2,8 @@
 
 #include <spdlog/spdlog.h>
 
+#include <tuple>
+
 #include "wrenusher/records.hpp"
 
 namespace wrenusher {
@@ -11,8 +13,6 @@
 constexpr std::size_t kMostFinals = 4000;
 constexpr Micros kFreshPeer = from_seconds(2);
 constexpr int kWithdrawTries = 4;
-/// Rows read for one poll: the job's root and blocks enough for a fair count on display.
-constexpr int kPollRows = 20;
 
 Response later(int seconds = 1) {
   return {503, {}, seconds};
@@ -31,6 +31,11 @@
   peers_[news.node] = {rt_.now(), news.store};
 }
 
+void Frontdesk::on_progress(const std::shared_ptr<const Progress>& p) {
+  counts_.clear();
+  for (const Progress::Row& r : p->rows) counts_[r.ref] = {r.done, r.running};
+}
+
 bool Frontdesk::ready() const {
   if (store_.reachable()) return true;
   // In an outage that all share, leaving the balancer would only lengthen its pause.
@@ -100,25 +105,16 @@
   }
   // First the live record, then the final one: a job moves only from the first to the second, in one
   // transaction, so a job that exists is seen in one of them.
-  store_.list(records::job_key(ref), {}, kPollRows, Store::Urgent::user, [this, ref, done](Read live) {
+  store_.get(records::job_key(ref), Store::Urgent::user, [this, ref, done](Read live) {
     if (live.result != Read::Result::ok) {
       done({});
       return;
     }
-    State s;
-    bool found = false;
-    for (const Row& row : live.rows) {
-      if (row.key == records::job_key(ref)) {
-        found = true;
-        s.status = row.value["wd"].boolean().value_or(false) ? "withdrawn" : "pending";
-      } else if (records::is_block_of(row.key, ref)) {
-        const auto counts = records::block_counts(row.value);
-        s.done += counts.done;
-        s.running += counts.claimed;
-      }
-    }
-    if (found) {
-      if (s.status == "pending" && s.running > 0) s.status = "running";
+    if (!live.rows.empty()) {
+      State s;
+      if (const auto it = counts_.find(ref); it != counts_.end()) std::tie(s.done, s.running) = it->second;
+      const bool gone = live.rows[0].value["wd"].boolean().value_or(false);
+      s.status = gone ? "withdrawn" : s.running > 0 ? "running" : "pending";
       done(Found{false, s});
       return;
     }
--- a/src/peer.cpp
+++ b/src/peer.cpp
@@ -19,6 +19,7 @@
 void Peer::beat() {
   while (!recent_.empty() && rt_.now() - recent_.front().first > kRepeat) recent_.pop_front();
   send();
+  untold_.reset();
   rt_.after(kBeat, [this] { beat(); });
 }
 
@@ -41,9 +42,16 @@
 Value Peer::describe() const {
   Value::List gone;
   for (const auto& [at, ref] : recent_) gone.emplace_back(ref);
-  return Value::Map{{"node", settings_.node},      {"epoch", term_.epoch}, {"leader", term_.leader},
+  Value::Map out{{"node", settings_.node},      {"epoch", term_.epoch}, {"leader", term_.leader},
                     {"leading", term_.leading},    {"store", store_},      {"hears", hears_},
                     {"withdrawn", std::move(gone)}};
+  if (untold_) {
+    Value::List rows;
+    rows.reserve(untold_->rows.size());
+    for (const Progress::Row& r : untold_->rows) rows.emplace_back(Value::List{r.ref, r.done, r.running});
+    out.emplace_back("progress", std::move(rows));
+  }
+  return out;
 }
 
 void Peer::learn(const Value& v) {
@@ -62,6 +70,15 @@
       if (r.text() != nullptr && valid_ref(*r.text())) withdrawn(JobWithdrawn{*r.text()});
     }
   }
+  if (const Value::List* l = v["progress"].list()) {
+    auto p = std::make_shared<Progress>();
+    for (const Value& row : *l) {
+      const Value::List* f = row.list();
+      if (f == nullptr || f->size() != 3 || (*f)[0].text() == nullptr) continue;
+      p->rows.push_back({*(*f)[0].text(), (*f)[1].count().value_or(0), (*f)[2].count().value_or(0)});
+    }
+    progress(std::move(p));
+  }
   news(n);
 }
 
--- a/src/provisioner.cpp
+++ b/src/provisioner.cpp
@@ -44,7 +44,7 @@
   machines_.clear();
   to_return_.clear();
   gone_.clear();
-  load_ = {};
+  load_.reset();
   listing_ = returning_ = false;
   bookings_made_ = 0;
   next_list_ = next_catalog_ = rt_.now();
@@ -321,11 +321,11 @@
   if (term_.leading) give_back(c.host, "tasks of several jobs failed on it");
 }
 
-void Provisioner::on_workload(const Workload& w) {
+void Provisioner::on_workload(const std::shared_ptr<const Workload>& w) {
   if (!term_.leading) return;
   load_ = w;
   const Instant now = rt_.now();
-  for (const Workload::HostLoad& h : w.hosts) {
+  for (const Workload::HostLoad& h : w->hosts) {
     if (to_return_.contains(h.host)) continue;
     Machine& m = know(h.host);
     if (!h.flavor.empty()) {
@@ -392,7 +392,7 @@
   for (const auto& [name, b] : open_bookings_) add_bins(b.kind, b.count);
 
   std::map<Kind, std::uint32_t> wanted;
-  for (const Workload::Demand& d : load_.demands) {
+  for (const Workload::Demand& d : load_->demands) {
     std::uint32_t left = d.tasks;
     const auto fill = [&](Bin& bin) {
       if (left == 0 || !d.spec.allows(bin.kind.flavor, bin.kind.site, bin.kind.standby) ||
--- a/src/range_set.cpp
+++ b/src/range_set.cpp
@@ -44,8 +44,10 @@
 
 Value RangeSet::write(std::uint32_t first, std::uint32_t last) const {
   Value::List out;
-  for (const auto& [a, b] : ranges_) {
-    if (a > last) break;
+  auto it = ranges_.upper_bound(first);
+  if (it != ranges_.begin()) --it;
+  for (; it != ranges_.end() && it->first <= last; ++it) {
+    const auto& [a, b] = *it;
     if (b < first) continue;
     out.emplace_back(std::uint64_t{std::max(a, first)});
     out.emplace_back(std::uint64_t{std::min(b, last)});
--- a/src/records.cpp
+++ b/src/records.cpp
@@ -10,41 +10,34 @@
 /// Longest JSON form of one task in a block: ["m-000000000",12345678,[99999,99999]], and its separators.
 constexpr double kBytesPerTask = 40;
 
-std::uint64_t range_total(const Value& v) {
-  std::uint64_t n = 0;
-  if (const Value::List* l = v.list()) {
-    for (std::size_t i = 0; i + 1 < l->size(); i += 2) {
-      const auto a = (*l)[i].count().value_or(1);
-      const auto b = (*l)[i + 1].count().value_or(0);
-      if (b >= a) n += b - a + 1;
-    }
-  }
+/// ["req-<60 digits>",n,version,last try,[],[]] and its separators: what a block takes before its first task.
+constexpr double kBytesPerBlock = 140;
+
+template <typename Number>
+std::optional<Number> number_after(const std::string& key, std::size_t at) {
+  Number n = 0;
+  const char* end = key.data() + key.size();
+  const auto [p, err] = std::from_chars(key.data() + at, end, n);
+  if (err != std::errc{} || p != end) return std::nullopt;
   return n;
 }
 
 }  // namespace
 
-bool is_block_of(const std::string& key, const std::string& ref) {
-  return key.starts_with(job_key(ref) + "/");
+std::optional<std::string> parse_job_key(const std::string& key) {
+  if (!key.starts_with("job/") || !valid_ref(key.substr(4))) return std::nullopt;
+  return key.substr(4);
 }
 
-bool parse_key(const std::string& key, std::string& ref, std::optional<std::uint32_t>& block) {
-  if (!key.starts_with("job/")) return false;
-  const auto slash = key.find('/', 4);
-  ref = key.substr(4, slash == std::string::npos ? slash : slash - 4);
-  block.reset();
-  if (slash != std::string::npos) {
-    std::uint32_t n = 0;
-    const char* end = key.data() + key.size();
-    const auto [at, err] = std::from_chars(key.data() + slash + 1, end, n);
-    if (err != std::errc{} || at != end) return false;
-    block = n;
-  }
-  return valid_ref(ref);
+std::optional<std::uint32_t> parse_slot_key(const std::string& key) {
+  static const std::string prefix = "claims/";
+  if (!key.starts_with(prefix)) return std::nullopt;
+  return number_after<std::uint32_t>(key, prefix.size());
 }
 
 std::uint32_t block_size(double value_kb) {
-  return static_cast<std::uint32_t>(std::clamp(value_kb * 1024 * 0.9 / kBytesPerTask, 1.0, 4096.0));
+  return static_cast<std::uint32_t>(
+      std::clamp((value_kb * 1024 * 0.95 - kBytesPerBlock) / kBytesPerTask, 1.0, 4096.0));
 }
 
 Value new_job(const JobSpec& spec, WallTime accepted, std::uint32_t size) {
@@ -64,17 +57,6 @@
   return Value::Map{{"s", status}, {"n", std::uint64_t{units}}};
 }
 
-Counts block_counts(const Value& block) {
-  Counts c;
-  c.done = range_total(block["d"]);
-  if (const Value::List* claims = block["c"].list()) {
-    for (const Value& row : *claims) {
-      if (row.list() != nullptr && row.list()->size() == 3) c.claimed += range_total((*row.list())[2]);
-    }
-  }
-  return c;
-}
-
 std::optional<JobRecord> read_job(const Value& v) {
   JobRecord r;
   const auto spec = read_spec(v["spec"]);
@@ -88,14 +70,25 @@
   return r;
 }
 
-std::optional<BlockRecord> read_block(const Value& v, std::uint32_t units) {
+std::optional<BlockId> read_block_id(const Value& row) {
+  const Value::List* f = row.list();
+  if (f == nullptr || f->size() != 6 || (*f)[0].text() == nullptr) return std::nullopt;
+  const auto n = (*f)[1].count();
+  const auto version = (*f)[2].count();
+  if (!n || *n > kMaxUnits || !version) return std::nullopt;
+  return BlockId{*(*f)[0].text(), static_cast<std::uint32_t>(*n), *version};
+}
+
+std::optional<BlockRecord> read_block(const Value& row, std::uint32_t units) {
+  const Value::List* fields = row.list();
+  if (fields == nullptr || fields->size() != 6) return std::nullopt;
   BlockRecord b;
-  b.last_try = v["t"].count().value_or(0);
-  if (!b.done.read(v["d"], units)) return std::nullopt;
-  const Value::List* claims = v["c"].list();
+  b.last_try = (*fields)[3].count().value_or(0);
+  if (!b.done.read((*fields)[4], units)) return std::nullopt;
+  const Value::List* claims = (*fields)[5].list();
   if (claims == nullptr) return std::nullopt;
-  for (const Value& row : *claims) {
-    const Value::List* f = row.list();
+  for (const Value& claim : *claims) {
+    const Value::List* f = claim.list();
     ClaimRow c;
     if (f == nullptr || f->size() != 3 || (*f)[0].text() == nullptr || !(*f)[1].count() ||
         !c.tasks.read((*f)[2], units)) {
@@ -108,12 +101,15 @@
   return b;
 }
 
-Value write_block(const BlockRecord& b, std::uint32_t first, std::uint32_t last) {
-  Value::List claims;
-  for (const ClaimRow& c : b.claims) {
-    claims.emplace_back(Value::List{c.host, c.attempt, c.tasks.write(first, last)});
+Value write_block(const BlockId& id, std::uint64_t last_try, const RangeSet& done,
+                  const std::vector<ClaimRow>& claims, std::uint32_t first, std::uint32_t last) {
+  Value::List rows;
+  rows.reserve(claims.size());
+  for (const ClaimRow& c : claims) {
+    rows.emplace_back(Value::List{c.host, c.attempt, c.tasks.write(first, last)});
   }
-  return Value::Map{{"t", b.last_try}, {"d", b.done.write(first, last)}, {"c", std::move(claims)}};
+  return Value::List{id.ref,   std::uint64_t{id.block}, id.version,
+                     last_try, done.write(first, last), std::move(rows)};
 }
 
 }  // namespace wrenusher::records
--- a/src/store.cpp
+++ b/src/store.cpp
@@ -95,25 +95,35 @@
     send();
     return;
   }
-  if (urgent == Urgent::user && queue_.size() >= kMostWaiting) {
+  auto& queue = urgent == Urgent::user ? user_queue_ : queue_;
+  if (urgent == Urgent::user && queue.size() >= kMostWaiting) {
     rt_.post(std::move(refuse));
     return;
   }
-  queue_.push_back({writes, std::move(send)});
+  queue.push_back({writes, std::move(send)});
   pump();
 }
 
+std::size_t Store::writes_ready() {
+  const Instant now = rt_.now();
+  if (now < backoff_until_ || !queue_.empty() || !user_queue_.empty()) return 0;
+  return static_cast<std::size_t>(std::max(0.0, writes_.tokens(now)));
+}
+
 void Store::pump() {
   if (pumping_) return;
-  while (!queue_.empty()) {
+  while (!user_queue_.empty() || !queue_.empty()) {
+    // In turn, so that neither a storm of polls nor a long commit keeps the others out.
+    auto& queue = queue_.empty() || (users_turn_ && !user_queue_.empty()) ? user_queue_ : queue_;
     const Instant now = rt_.now();
-    const Queued& q = queue_.front();
+    const Queued& q = queue.front();
     const bool wait = now < backoff_until_ || !requests_.take(1, now);
     if (!wait && q.writes > 0 && !writes_.take(q.writes, now)) {
       requests_.force(-1, now);
     } else if (!wait) {
-      auto send = std::move(queue_.front().send);
-      queue_.pop_front();
+      auto send = std::move(queue.front().send);
+      queue.pop_front();
+      users_turn_ = !users_turn_;
       send();
       continue;
     }
--- a/tests/formats_test.cpp
+++ b/tests/formats_test.cpp
@@ -198,8 +198,13 @@
         b.claims.push_back(c);
       }
     }
-    const Value v = records::write_block(b, first, kMaxUnits - 1);
-    RC_ASSERT(v.json_size() <= static_cast<std::size_t>(value_kb * 1024));
+    const records::BlockId id{"req-" + std::string(60, '9'), first / size, 1ULL << 62};
+    const Value v = records::write_block(id, b.last_try, b.done, b.claims, first, kMaxUnits - 1);
+    // A slot is a list of such rows; one row alone must always find room in it.
+    RC_ASSERT(Value(Value::List{v}).json_size() <= static_cast<std::size_t>(value_kb * 1024) - 2);
+    const auto seen = records::read_block_id(v);
+    RC_ASSERT(seen.has_value());
+    RC_ASSERT(seen->ref == id.ref && seen->block == id.block && seen->version == id.version);
     const auto back = records::read_block(v, kMaxUnits);
     RC_ASSERT(back.has_value());
     RC_ASSERT(back->done == b.done);
