--- a/src/provisioner.cpp
+++ b/src/provisioner.cpp
@@ -333,8 +333,8 @@
       m.site = h.site;
       m.standby = h.standby;
     }
+    if (h.claims > 0 || (h.usable && !m.up)) m.idle_since = now;  // booting is not idling
     if (h.usable) m.up = true;
-    if (h.claims > 0) m.idle_since = now;
     if (m.draining && h.claims == 0) give_back(h.host, "it is idle");
   }
   if (certain()) plan_rentals();
