Equal finishes: the smaller type, then spot, then the fuller machine

Cause: ordinary machines cost three to four times as much and were kept busy while spot ones had room.

--- a/src/planner.cpp
+++ b/src/planner.cpp
@@ -43,11 +43,7 @@
 /// How much of the machine stays unused by tasks of this need, from 0 to 1: the more, the worse the fit.
 double misfit(const PlanHost& host, const Needs& need) {
   const Needs& all = host.flavor->room;
-  const double cores =
-      all.cores > 0 ? static_cast<double>(host.room.cores - need.cores) / static_cast<double>(all.cores) : 0;
-  // A machine much larger than the task is better kept for what fits nowhere else.
-  const double size = static_cast<double>(all.cores) / 1e9;
-  return cores + size;
+  return all.cores > 0 ? static_cast<double>(host.room.cores - need.cores) / static_cast<double>(all.cores) : 0;
 }
 
 }  // namespace
@@ -177,6 +173,8 @@
     struct Candidate {
       std::size_t host;
       Micros finish;
+      Amount size;
+      bool ordinary;
       double misfit;
       std::uint32_t fits;
     };
@@ -194,12 +192,16 @@
       if (fits == 0) continue;
       Micros finish = finish_time(host, job);
       if (has_image(h, spec)) finish -= fetch_time(host, spec);
-      candidates.push_back({h, finish, misfit(host, spec.needs), fits});
+      candidates.push_back({h, finish, host.flavor->room.cores, !host.standby, misfit(host, spec.needs), fits});
     }
     std::sort(candidates.begin(), candidates.end(), [](const Candidate& a, const Candidate& b) {
       const auto ra = a.finish / kAlike;
       const auto rb = b.finish / kAlike;
       if (ra != rb) return ra < rb;
+      // A machine much larger than the task is better kept for what fits nowhere else.
+      if (a.size != b.size) return a.size < b.size;
+      // Spot machines cost a fraction: what they can take leaves ordinary ones empty, to be returned.
+      if (a.ordinary != b.ordinary) return b.ordinary;
       if (a.misfit != b.misfit) return a.misfit < b.misfit;
       return a.host < b.host;
     });
