--- a/include/wrenusher/ledger.hpp
+++ b/include/wrenusher/ledger.hpp
@@ -42,6 +42,8 @@
     bool standby = false;
     bool usable = false;
     std::uint32_t claims = 0;
+    Amount booked = 0;   ///< cores of its claims
+    Amount running = 0;  ///< cores of those that run
   };
   std::vector<Demand> demands;  ///< in the order of service
   std::vector<HostLoad> hosts;
@@ -129,6 +131,7 @@
     std::uint64_t tenure = 0;
     Instant full_until{};
     Needs booked;                                                 ///< what its claims take
+    Amount running = 0;                                           ///< cores of the claims that run
     std::map<std::pair<std::uint64_t, std::uint32_t>, Job*> claims;  ///< (job id, task) booked here
     std::map<std::string, std::uint32_t> pulling;                 ///< bundle -> tasks that wait for it
     std::map<std::string, std::uint64_t> images;                  ///< bundle -> order of its last use
--- a/include/wrenusher/provisioner.hpp
+++ b/include/wrenusher/provisioner.hpp
@@ -34,6 +34,8 @@
     bool returning = false;
     bool draining = false;  ///< gets no new tasks and goes back once the last has ended
     bool running = false;   ///< listed as running
+    Amount booked = 0;
+    Amount working = 0;
     Instant rented{};
     Instant expected{};  ///< to report by then
     Instant idle_since{};
@@ -72,6 +74,7 @@
   void plan_rentals();
   bool refused(const Kind& kind) const;
   void tell_capacity();
+  void account();
 
   Runtime& rt_;
   const Settings& settings_;
@@ -97,6 +100,18 @@
   std::map<std::string, Machine> machines_;
   std::set<std::string> to_return_;
   std::set<std::string> gone_;  ///< given back in this term
+  /// What was spent on one kind of machine since the last account, by what it was spent on.
+  struct Spent {
+    double boot = 0;
+    double idle = 0;   ///< up, with nothing to do
+    double spare = 0;  ///< cores that no task has booked beside some that are
+    double wait = 0;   ///< cores booked by tasks that do not run yet: orders on their way, images
+    double run = 0;
+    double total() const { return boot + idle + spare + wait + run; }
+  };
+  std::map<std::pair<std::string, bool>, Spent> spent_;
+  Instant accounted_{};
+  Instant next_account_{};
   std::shared_ptr<const Workload> load_;
 };
 
--- a/src/ledger.cpp
+++ b/src/ledger.cpp
@@ -403,7 +403,7 @@
   if (job.rec.withdrawn) check_over(job);
 }
 
-/// Keeps count of the images that tasks on the machine wait for.
+/// Keeps count of the images that tasks on the machine wait for, and of the cores in use.
 void Ledger::set_phase(const Job& job, Claim& c, Phase phase) {
   auto& pulling = c.at->pulling;
   const std::string& bundle = job.rec.spec.bundle;
@@ -412,6 +412,8 @@
     if (--it->second == 0) pulling.erase(it);
   }
   if (phase == Phase::pulling) ++pulling[bundle];
+  if (c.phase == Phase::running) c.at->running -= job.rec.spec.needs.cores;
+  if (phase == Phase::running) c.at->running += job.rec.spec.needs.cores;
   c.phase = phase;
 }
 
--- a/src/ledger_rounds.cpp
+++ b/src/ledger_rounds.cpp
@@ -236,8 +236,8 @@
   }
   w->hosts.reserve(machines_.size());
   for (const auto& [name, m] : machines_) {
-    w->hosts.push_back(
-        {name, m.flavor, m.site, m.standby, m.usable(), static_cast<std::uint32_t>(m.claims.size())});
+    w->hosts.push_back({name, m.flavor, m.site, m.standby, m.usable(),
+                        static_cast<std::uint32_t>(m.claims.size()), m.booked.cores, m.running});
   }
   workload(std::move(w));
 }
--- a/src/provisioner.cpp
+++ b/src/provisioner.cpp
@@ -20,6 +20,7 @@
 constexpr int kBookingTries = 8;
 /// So many failed calls in a row are an outage.
 constexpr int kTroubled = 3;
+constexpr Micros kAccountEvery = from_seconds(60);
 
 bool no_capacity(const Outcome& o) {
   return o.answered && o.response.status == 503 && o.response.body.find("no capacity") != std::string::npos;
@@ -45,6 +46,9 @@
   to_return_.clear();
   gone_.clear();
   load_.reset();
+  spent_.clear();
+  accounted_ = rt_.now();
+  next_account_ = accounted_ + kAccountEvery;
   listing_ = returning_ = false;
   bookings_made_ = 0;
   next_list_ = next_catalog_ = rt_.now();
@@ -324,6 +328,7 @@
 void Provisioner::on_workload(const std::shared_ptr<const Workload>& w) {
   if (!term_.leading) return;
   load_ = w;
+  account();
   const Instant now = rt_.now();
   for (const Workload::HostLoad& h : w->hosts) {
     if (to_return_.contains(h.host)) continue;
@@ -335,11 +340,48 @@
     }
     if (h.claims > 0 || (h.usable && !m.up)) m.idle_since = now;  // booting is not idling
     if (h.usable) m.up = true;
+    m.booked = h.booked;
+    m.working = h.running;
     if (m.draining && h.claims == 0) give_back(h.host, "it is idle");
   }
   if (certain()) plan_rentals();
 }
 
+/// Keeps the books: operators see where the money goes.
+void Provisioner::account() {
+  const Instant now = rt_.now();
+  const double hours = to_seconds(now - accounted_) / 3600;
+  accounted_ = now;
+  if (!catalog_) return;
+  for (const auto& [host, m] : machines_) {
+    const auto it = catalog_->find(m.flavor);
+    if (it == catalog_->end() || it->second.room.cores <= 0) continue;
+    const Flavor& f = it->second;
+    const double cost = hours * (m.standby ? f.low_price : f.rate);
+    Spent& s = spent_[{m.flavor, m.standby}];
+    if (!m.up) {
+      s.boot += cost;
+    } else if (m.booked == 0) {
+      s.idle += cost;
+    } else {
+      const double core = cost / static_cast<double>(f.room.cores);
+      s.run += core * static_cast<double>(m.working);
+      s.wait += core * static_cast<double>(m.booked - m.working);
+      s.spare += core * static_cast<double>(f.room.cores - m.booked);
+    }
+  }
+  if (now < next_account_) return;
+  next_account_ = now + kAccountEvery;
+  for (const auto& [kind, s] : spent_) {
+    if (s.total() <= 0) continue;
+    const double percent = 100 / s.total();
+    spdlog::info("spent {:.2f} on {} {}: run {:.0f}%, fetch and wait {:.0f}%, spare {:.0f}%, idle {:.0f}%, boot {:.0f}%",
+                 s.total(), kind.second ? "spot" : "ordinary", kind.first, s.run * percent, s.wait * percent,
+                 s.spare * percent, s.idle * percent, s.boot * percent);
+  }
+  spent_.clear();
+}
+
 void Provisioner::review() {
   const Instant now = rt_.now();
   for (auto& [host, m] : machines_) {
