--- a/include/wrenusher/provisioner.hpp
+++ b/include/wrenusher/provisioner.hpp
@@ -75,6 +75,7 @@
   bool refused(const Kind& kind) const;
   void tell_capacity();
   void account();
+  Micros idle_return(const Machine& m) const;
 
   Runtime& rt_;
   const Settings& settings_;
--- a/src/provisioner.cpp
+++ b/src/provisioner.cpp
@@ -20,6 +20,8 @@
 constexpr int kBookingTries = 8;
 /// So many failed calls in a row are an outage.
 constexpr int kTroubled = 3;
+/// A machine that is returned costs at least this much time, so it is kept for it.
+constexpr Micros kLeastPaid = from_seconds(60);
 constexpr Micros kAccountEvery = from_seconds(60);
 
 bool no_capacity(const Outcome& o) {
@@ -347,6 +349,14 @@
   if (certain()) plan_rentals();
 }
 
+/// How long a machine may idle: an ordinary one for as much money as a spot one, which is used before it.
+Micros Provisioner::idle_return(const Machine& m) const {
+  const Micros spot = settings_.tunables.idle_return;
+  const auto it = catalog_ ? catalog_->find(m.flavor) : Catalog::const_iterator{};
+  if (m.standby || !catalog_ || it == catalog_->end() || it->second.rate <= it->second.low_price) return spot;
+  return from_seconds(to_seconds(spot) * it->second.low_price / it->second.rate);
+}
+
 /// Keeps the books: operators see where the money goes.
 void Provisioner::account() {
   const Instant now = rt_.now();
@@ -388,7 +398,7 @@
     if (m.returning) continue;
     if (!m.up) {
       if (now > m.expected) give_back(host, "it does not come up");
-    } else if (!m.draining && now - m.idle_since > settings_.tunables.idle_return) {
+    } else if (!m.draining && now - m.rented > kLeastPaid && now - m.idle_since > idle_return(m)) {
       // First the ledger puts nothing on it any more; it goes back when the ledger shows it empty.
       m.draining = true;
       condemned(HostCondemned{host, "idle"});
