A job that its team's ceiling serves in waves is pressed for all of them

Cause: releves of 56 tasks of 32 cores run 12 at a time under a ceiling of 400, five waves; slack counted one, so they were pressed too late and then held places as hopeless ones.

--- a/include/wrenusher/planner.hpp
+++ b/include/wrenusher/planner.hpp
@@ -15,6 +15,8 @@
   const JobSpec* spec = nullptr;
   std::uint32_t waiting = 0;
   Micros estimate{};
+  /// How many times over its tasks must be run, one after the other, under its team's ceiling.
+  std::uint32_t waves = 1;
   WallTime accepted{};
   /// Zones where tasks of the job are now, with their number.
   std::map<std::string, std::uint32_t> zones;
@@ -105,6 +107,8 @@
 std::vector<std::size_t> preempt(const Snapshot& s, const std::vector<Shortage>& shortages,
                                  const std::vector<Running>& running);
 
+/// How many tasks of a need a team's ceiling allows at once, at least one; a ceiling of 0 is none.
+std::uint32_t most_at_once(const Needs& need, const Needs& ceiling, std::uint32_t most);
 /// How many tasks of a need fit into a room.
 std::uint32_t count_fitting(const Needs& need, const Needs& room, std::uint32_t most);
 /// How many more tasks the job may put into the zone, given where its tasks are.
--- a/src/ledger_rounds.cpp
+++ b/src/ledger_rounds.cpp
@@ -113,6 +113,11 @@
     p.spec = &spec;
     p.waiting = job.waiting.size();
     p.estimate = estimator_.estimate(spec);
+    if (const Team* team = settings_.team(spec.owner); team != nullptr && spec.shape == Shape::sweep) {
+      const Needs all{to_amount(team->cores_max), to_amount(team->cards_max), 0};
+      const std::uint32_t at_once = planner::most_at_once(spec.needs, all, p.waiting);
+      p.waves = std::max(1U, (p.waiting + at_once - 1) / at_once);
+    }
     p.accepted = job.rec.accepted;
     p.avoid = &job.avoid;
     p.keep_off = keep_off(job, s.now);
--- a/src/planner.cpp
+++ b/src/planner.cpp
@@ -57,6 +57,13 @@
   return static_cast<std::uint32_t>(std::max<Amount>(n, 0));
 }
 
+std::uint32_t most_at_once(const Needs& need, const Needs& ceiling, std::uint32_t most) {
+  Amount n = most;
+  if (need.cores > 0 && ceiling.cores > 0) n = std::min(n, ceiling.cores / need.cores);
+  if (need.cards > 0 && ceiling.cards > 0) n = std::min(n, ceiling.cards / need.cards);
+  return static_cast<std::uint32_t>(std::max<Amount>(n, 1));
+}
+
 std::uint32_t zone_allowance(const JobSpec& spec, const std::map<std::string, std::uint32_t>& zones,
                              const std::string& zone) {
   std::uint32_t allowed = spec.units;
@@ -102,7 +109,7 @@
   const auto aims = targets(*job.spec, objectives);
   if (aims.empty()) return {};
   for (const Micros& aim : aims) {
-    const Micros left = job.accepted + aim - now - job.estimate;
+    const Micros left = job.accepted + aim - now - job.estimate * job.waves;
     // Estimates are off, so an aim is given up only once it is missed by an eighth of the run time.
     if (left < -job.estimate / 8) continue;
     if (left < kPressed) return {Standing::pressed, left};
