--- a/include/wrenusher/provisioner.hpp
+++ b/include/wrenusher/provisioner.hpp
@@ -75,6 +75,7 @@
   bool refused(const Kind& kind) const;
   void tell_capacity();
   void account();
+  Micros found_within() const;
   Micros idle_return(const Machine& m) const;
 
   Runtime& rt_;
@@ -93,6 +94,7 @@
   Instant next_list_{};
   Instant next_catalog_{};
   Instant rent_not_before_{};
+  Instant term_began_{};
   bool listing_ = false;
   bool returning_ = false;
   std::uint64_t bookings_made_ = 0;
--- a/src/provisioner.cpp
+++ b/src/provisioner.cpp
@@ -22,6 +22,9 @@
 constexpr int kTroubled = 3;
 /// A machine that is returned costs at least this much time, so it is kept for it.
 constexpr Micros kLeastPaid = from_seconds(60);
+/// A worker waits this long for an answer, and this long before it asks the next node.
+constexpr Micros kWorkerPatience = from_seconds(4);
+constexpr Micros kWorkerRetry = from_seconds(1);
 constexpr Micros kAccountEvery = from_seconds(60);
 
 bool no_capacity(const Outcome& o) {
@@ -48,6 +51,7 @@
   to_return_.clear();
   gone_.clear();
   load_.reset();
+  term_began_ = rt_.now();
   spent_.clear();
   accounted_ = rt_.now();
   next_account_ = accounted_ + kAccountEvery;
@@ -342,6 +346,8 @@
     }
     if (h.claims > 0 || (h.usable && !m.up)) m.idle_since = now;  // booting is not idling
     if (h.usable) m.up = true;
+    // It was up under an earlier leader, and a worker that still is finds this one within a report and a lost answer.
+    if (!m.up && h.claims > 0 && now - term_began_ > found_within()) give_back(h.host, "it is not heard in this term");
     m.booked = h.booked;
     m.working = h.running;
     if (m.draining && h.claims == 0) give_back(h.host, "it is idle");
@@ -349,6 +355,10 @@
   if (certain()) plan_rentals();
 }
 
+Micros Provisioner::found_within() const {
+  return settings_.report * 5 / 4 + kWorkerPatience + kWorkerRetry * 2;
+}
+
 /// How long a machine may idle: an ordinary one for as much money as a spot one, which is used before it.
 Micros Provisioner::idle_return(const Machine& m) const {
   const Micros spot = settings_.tunables.idle_return;
