--- a/include/wrenusher/ledger.hpp
+++ b/include/wrenusher/ledger.hpp
@@ -219,6 +219,7 @@
   void make_room(const planner::Snapshot& s, const std::vector<planner::Shortage>& shortages);
   std::set<std::string> keep_off(const Job& job, WallTime now) const;
   bool is_sought(const std::string& flavor) const;
+  Micros patience(const Job& job) const;
   bool patience_over(const Job& job, WallTime now) const;
   void flush();
   void add_finals(std::vector<Condition>& when, std::vector<Change>& apply, Pending& pending);
--- a/include/wrenusher/planner.hpp
+++ b/include/wrenusher/planner.hpp
@@ -24,6 +24,8 @@
   const std::map<std::string, Instant>* avoid = nullptr;
   /// Types whose room is booked for jobs that fit nowhere else.
   std::set<std::string> keep_off;
+  /// Types that are not rented for the job for the same reason, though it may use them where they are.
+  std::set<std::string> no_rent;
 };
 
 struct PlanHost {
--- a/src/ledger_rounds.cpp
+++ b/src/ledger_rounds.cpp
@@ -78,14 +78,17 @@
   return sought;
 }
 
-/// Whether the job has waited for as long as a new machine would take, of a type that the cloud still gives.
-bool Ledger::patience_over(const Job& job, WallTime now) const {
-  Micros patience{0};
+/// How long a new machine takes to come, of a type that the job leaves to nobody and the cloud still gives.
+Micros Ledger::patience(const Job& job) const {
+  Micros most{0};
   for (const std::string& name : planner::fitting_flavors(job.rec.spec, *catalog_)) {
-    if (!is_sought(name) && !exhausted_.contains(name))
-      patience = std::max(patience, catalog_->at(name).boot);
+    if (!is_sought(name) && !exhausted_.contains(name)) most = std::max(most, catalog_->at(name).boot);
   }
-  return now - job.rec.accepted >= patience;
+  return most;
+}
+
+bool Ledger::patience_over(const Job& job, WallTime now) const {
+  return now - job.rec.accepted >= patience(job);
 }
 
 bool Ledger::is_sought(const std::string& flavor) const {
@@ -121,6 +124,11 @@
     p.accepted = job.rec.accepted;
     p.avoid = &job.avoid;
     p.keep_off = keep_off(job, s.now);
+    p.no_rent = p.keep_off;
+    // A job that would be late by the time a new machine has come takes what is there now.
+    const planner::Slack sl = planner::slack(p, s.now, settings_.objectives);
+    if (!p.keep_off.empty() && sl.standing == planner::Standing::pressed && sl.left < patience(job) * 5 / 4)
+      p.keep_off.clear();
     bool zones_known = true;
     if (spec.same_place || spec.scatter) {
       for (const auto& [task, c] : job.claims) {
@@ -237,7 +245,7 @@
   auto w = std::make_shared<Workload>();
   for (const planner::Shortage& sh : p.shortages) {
     const planner::PlanJob& j = s.jobs[sh.job];
-    w->demands.push_back({*j.spec, sh.tasks, j.estimate, j.keep_off});
+    w->demands.push_back({*j.spec, sh.tasks, j.estimate, j.no_rent});
   }
   w->hosts.reserve(machines_.size());
   for (const auto& [name, m] : machines_) {
