No ordinary machine for what is predicted to start in time on those there are

Cause: every shortage was rented for at once, ordinary machines too, though the tasks that end make room within the time that jobs may wait.

--- a/include/wrenusher/ledger.hpp
+++ b/include/wrenusher/ledger.hpp
@@ -33,6 +33,7 @@
     JobSpec spec;
     std::uint32_t tasks = 0;
     Micros estimate{};
+    Micros spare{};                  ///< how long it may wait for its start
     std::set<std::string> keep_off;  ///< types booked for jobs that fit nowhere else
   };
   struct HostLoad {
--- a/include/wrenusher/planner.hpp
+++ b/include/wrenusher/planner.hpp
@@ -77,7 +77,8 @@
 };
 struct Slack {
   Standing standing = Standing::ordinary;
-  Micros left{};  ///< how long it may still wait, while pressed
+  Micros left{};   ///< how long it may still wait, while pressed
+  Micros spare{};  ///< how long it may still wait, pressed or not; the longest time there is without a target
 };
 Slack slack(const PlanJob& job, WallTime now, const std::vector<Objective>& objectives);
 
--- a/src/planner.cpp
+++ b/src/planner.cpp
@@ -107,15 +107,15 @@
 
 Slack slack(const PlanJob& job, WallTime now, const std::vector<Objective>& objectives) {
   const auto aims = targets(*job.spec, objectives);
-  if (aims.empty()) return {};
+  if (aims.empty()) return {Standing::ordinary, {}, Micros::max()};
   for (const Micros& aim : aims) {
     const Micros left = job.accepted + aim - now - job.estimate * job.waves;
     // Estimates are off, so an aim is given up only once it is missed by an eighth of the run time.
     if (left < -job.estimate / 8) continue;
-    if (left < kPressed) return {Standing::pressed, left};
-    return {};
+    if (left < kPressed) return {Standing::pressed, left, std::max(left, Micros{0})};
+    return {Standing::ordinary, {}, left};
   }
-  return {Standing::late, {}};
+  return {Standing::late, {}, {}};
 }
 
 Micros rank(const PlanJob& job) {
--- a/src/provisioner.cpp
+++ b/src/provisioner.cpp
@@ -25,6 +25,11 @@
 /// A worker waits this long for an answer, and this long before it asks the next node.
 constexpr Micros kWorkerPatience = from_seconds(4);
 constexpr Micros kWorkerRetry = from_seconds(1);
+/// Jobs that can wait are left to the room that running tasks make: no spot machine is rented for what is predicted
+/// to start within this part of the time that they may wait, no ordinary one within that part.
+constexpr double kSpotWait = 0.0;
+constexpr double kOrdinaryWait = 0.4;
+constexpr Micros kMostWait = from_seconds(90);
 constexpr Micros kAccountEvery = from_seconds(60);
 
 bool no_capacity(const Outcome& o) {
@@ -453,9 +458,47 @@
   }
   for (const auto& [name, b] : open_bookings_) add_bins(b.kind, b.count);
 
+  // Cores of each type, here or coming, and the work that already waits for them, in core seconds.
+  struct Queue {
+    double cores = 0;
+    double work = 0;
+  };
+  std::map<std::string, Queue> queues;
+  const auto add_cores = [&](const std::string& flavor, std::uint32_t n) {
+    if (const auto f = catalog_->find(flavor); f != catalog_->end())
+      queues[flavor].cores += n * from_amount(f->second.room.cores);
+  };
+  for (const auto& [host, m] : machines_) {
+    if (!m.returning && !m.draining) add_cores(m.flavor, 1);
+  }
+  for (const auto& [name, b] : open_bookings_) add_cores(b.kind.flavor, b.count);
+
   std::map<Kind, std::uint32_t> wanted;
   for (const Workload::Demand& d : load_->demands) {
-    std::uint32_t left = d.tasks;
+    // What ends on the machines that there are makes room for the tasks that can wait for it.
+    const double per_task = from_amount(d.spec.needs.cores) * to_seconds(d.estimate);
+    const auto mine = [&](const std::string& flavor) {
+      return !d.keep_off.contains(flavor) && d.spec.needs.fits(catalog_->at(flavor).room) &&
+             d.spec.allows(flavor, d.spec.site.empty() ? catalog_->at(flavor).sites.front() : d.spec.site, false);
+    };
+    double cores = 0;
+    double ahead = 0;
+    for (const auto& [flavor, q] : queues) {
+      if (!mine(flavor)) continue;
+      cores += q.cores;
+      ahead += q.work;
+    }
+    for (auto& [flavor, q] : queues) {
+      if (mine(flavor) && cores > 0) q.work += d.tasks * per_task * q.cores / cores;
+    }
+    const auto served = [&](double share) {
+      if (d.spec.shape != Shape::sweep || per_task <= 0) return 0U;
+      const double wait = to_seconds(std::min(d.spare, kMostWait)) * share;
+      return static_cast<std::uint32_t>(std::clamp((cores * wait - ahead) / per_task, 0.0, double{d.tasks}));
+    };
+    const std::uint32_t wait_for_spot = served(kSpotWait);
+    const std::uint32_t wait_for_any = served(kOrdinaryWait);
+    std::uint32_t left = d.tasks - wait_for_spot;
     const auto fill = [&](Bin& bin) {
       if (left == 0 || !d.spec.allows(bin.kind.flavor, bin.kind.site, bin.kind.standby) ||
           d.keep_off.contains(bin.kind.flavor)) {
@@ -482,6 +525,7 @@
             kind = {name, site, standby};
             if (!d.spec.allows(name, site, standby)) continue;
             if (refused(kind)) continue;
+            if (!standby && d.spec.standby && left + wait_for_spot <= wait_for_any) continue;
             const double cost = (standby ? f.low_price : f.rate) * hold / per;
             if (cost < best_cost) {
               best_cost = cost;
@@ -494,6 +538,7 @@
       }
       if (best == nullptr) break;
       ++wanted[*best];
+      add_cores(best->flavor, 1);
       bins.push_back({*best, catalog_->at(best->flavor).room});
       bins.back().room -= d.spec.needs * best_per;
       left -= std::min(left, best_per);
