--- a/include/wrenusher/fleet.hpp
+++ b/include/wrenusher/fleet.hpp
@@ -73,6 +73,7 @@
   Instant certain_until_{};
   Instant heard_any_{};
   Instant led_since_{};
+  Instant ticked_{};
   bool ever_heard_ = false;
   std::map<std::string, Host> hosts_;
   std::set<std::string> gone_;
--- a/include/wrenusher/ledger.hpp
+++ b/include/wrenusher/ledger.hpp
@@ -131,18 +131,18 @@
     bool warned = false;
     std::uint64_t tenure = 0;
     Instant full_until{};
-    Needs booked;                                                 ///< what its claims take
-    Amount running = 0;                                           ///< cores of the claims that run
+    Needs booked;                                                    ///< what its claims take
+    Amount running = 0;                                              ///< cores of the claims that run
     std::map<std::pair<std::uint64_t, std::uint32_t>, Job*> claims;  ///< (job id, task) booked here
-    std::map<std::string, std::uint32_t> pulling;                 ///< bundle -> tasks that wait for it
-    std::map<std::string, std::uint64_t> images;                  ///< bundle -> order of its last use
+    std::map<std::string, std::uint32_t> pulling;                    ///< bundle -> tasks that wait for it
+    std::map<std::string, std::uint64_t> images;                     ///< bundle -> order of its last use
     std::map<std::string, double> image_gb;
     std::map<std::string, Instant> errors;  ///< job -> when its task failed here
     /// Whether it may get new tasks.
     bool usable() const { return current && !quiet && !condemned && !warned; }
   };
-  /// A value in the store that holds blocks. Blocks move: each is written to a free slot, and a slot is free again
-  /// once every block that stood in it stands in another.
+  /// A value in the store that holds blocks. Blocks move: each is written to a free slot, and a slot is free
+  /// again once every block that stood in it stands in another.
   struct Slot {
     std::uint64_t stamp = 0;
     std::uint32_t live = 0;
--- a/include/wrenusher/provisioner.hpp
+++ b/include/wrenusher/provisioner.hpp
@@ -94,6 +94,7 @@
   Instant next_list_{};
   Instant next_catalog_{};
   Instant rent_not_before_{};
+  Instant ordinary_not_before_{};
   Instant term_began_{};
   bool listing_ = false;
   bool returning_ = false;
--- a/include/wrenusher/records.hpp
+++ b/include/wrenusher/records.hpp
@@ -3,8 +3,10 @@
 //   leader            {node, epoch}, attached to the leader's hold
 //   epoch             {epoch}, the counter of terms
 //   job/<ref>         {spec, t: accepted at (ms), b: tasks per block, wd: withdrawn}; put by any node
-//   claims/<slot>     [[ref, n, version, last try, done ranges, [[host, try, ranges], ...]], ...]: blocks of several
-//                     jobs; put by the leader alone. Of two copies of a block the one with the higher version counts
+//   claims/<slot>     [[ref, n, version, last try, done ranges, [[host, try, ranges], ...]], ...]: blocks of
+//   several
+//                     jobs; put by the leader alone. Of two copies of a block the one with the higher version
+//                     counts
 //   end/<ref>         {s: "done" or "withdrawn", n: tasks}, kept for ever
 //   catalog           the cloud's last answer to GET /catalog
 
--- a/include/wrenusher/settings.hpp
+++ b/include/wrenusher/settings.hpp
@@ -36,7 +36,7 @@
   Micros hold_life = millis(4000);
   Micros round = millis(200);
   Micros idle_return = from_seconds(30);
-  double silent_reports = 5.0;
+  double silent_reports = 2.5;
   double slow_boot_factor = 2.5;
 };
 
--- a/src/estimator.cpp
+++ b/src/estimator.cpp
@@ -51,7 +51,8 @@
     auto& h = hosts_[host];
     h.ratios.push_back(ratio - s->mean());
     if (h.ratios.size() > kHostTasks) h.ratios.pop_front();
-    h.speed = std::clamp(std::exp(-cautious_median({h.ratios.begin(), h.ratios.end()}, kHostPrior)), 0.2, 1.5);
+    h.speed =
+        std::clamp(std::exp(-cautious_median({h.ratios.begin(), h.ratios.end()}, kHostPrior)), 0.2, 1.5);
   }
   auto& queue = queues_[spec.queue];
   auto it = std::find_if(queue.begin(), queue.end(), [&](const Seen& s) { return s.ref == spec.ref; });
--- a/src/fleet.cpp
+++ b/src/fleet.cpp
@@ -122,6 +122,14 @@
 
 void Fleet::tick() {
   const Instant now = rt_.now();
+  if (now - ticked_ > kTick * 3 && ticked_ != Instant{}) {
+    // This controller itself stood still or was starved: reports wait unread, and no machine is to blame.
+    const Micros lost = now - ticked_ - kTick;
+    for (auto& [name, h] : hosts_) h.heard += lost;
+    heard_any_ += lost;
+    spdlog::debug("this controller lost {:.1f} s", to_seconds(lost));
+  }
+  ticked_ = now;
   const Micros limit = quiet_after();
   const bool hears = ever_heard_ && now - heard_any_ < limit;
   const bool deaf = term_.leading && !hears && now - led_since_ > limit;
--- a/src/ledger.cpp
+++ b/src/ledger.cpp
@@ -16,8 +16,8 @@
 constexpr std::size_t kErrorHosts = 3;
 constexpr Micros kNoRoomPause = from_seconds(3);
 constexpr Micros kRetryRead = millis(250);
-/// The answer to a report waits this long for the commit of what the report brought: the room that a task leaves
-/// is then used at once, not at the worker's next report.
+/// The answer to a report waits this long for the commit of what the report brought: the room that a task
+/// leaves is then used at once, not at the worker's next report.
 constexpr Micros kHoldAnswer = millis(800);
 
 }  // namespace
@@ -254,8 +254,8 @@
   plan_needed_ = true;
 }
 
-/// Reads a job's root anew after a conflict or an unknown outcome: it tells of a cancellation, or that our final
-/// write had been executed after all.
+/// Reads a job's root anew after a conflict or an unknown outcome: it tells of a cancellation, or that our
+/// final write had been executed after all.
 void Ledger::refresh(const std::string& ref) {
   Job* refreshed = find(ref);
   if (refreshed == nullptr) return;
@@ -322,8 +322,8 @@
 /// The final state of the job is due once nothing is left to run, or of a cancelled job nothing left running.
 void Ledger::check_over(const Job& job) {
   const JobSpec& spec = job.rec.spec;
-  const bool over = job.rec.withdrawn ? job.claims.empty()
-                                      : spec.shape != Shape::daemon && job.done.size() == spec.units;
+  const bool over =
+      job.rec.withdrawn ? job.claims.empty() : spec.shape != Shape::daemon && job.done.size() == spec.units;
   if (over) {
     over_.insert(spec.ref);
   } else {
@@ -552,12 +552,14 @@
   m.warned = r.warning.has_value();
   if (m.usable() != was_usable) plan_needed_ = true;
   if (const auto old = held_.find(r.host); old != held_.end()) {
-    // The worker has given up waiting for that answer; orders in it would come too late to be settled by this report.
+    // The worker has given up waiting for that answer; orders in it would come too late to be settled by this
+    // report.
     old->second.reply({});
     held_.erase(old);
   }
   const bool left = take_report(m, r, in.settled);
-  // Only answers to reports carry orders; what a task left is used at once, so its worker waits for the next round.
+  // Only answers to reports carry orders; what a task left is used at once, so its worker waits for the next
+  // round.
   if (in.settled && m.current && rt_.now() < certain_until_ && (left || awaits_commit(m, r))) {
     held_[r.host] = {in.report, in.reply, rt_.now() + std::min(kHoldAnswer, settings_.lease / 8), plans_};
     if (left) wake();
--- a/src/ledger_rounds.cpp
+++ b/src/ledger_rounds.cpp
@@ -245,8 +245,8 @@
   auto w = std::make_shared<Workload>();
   for (const planner::Shortage& sh : p.shortages) {
     const planner::PlanJob& j = s.jobs[sh.job];
-    w->demands.push_back({*j.spec, sh.tasks, j.estimate,
-                          planner::slack(j, s.now, settings_.objectives).spare, j.no_rent});
+    w->demands.push_back(
+        {*j.spec, sh.tasks, j.estimate, planner::slack(j, s.now, settings_.objectives).spare, j.no_rent});
   }
   w->hosts.reserve(machines_.size());
   for (const auto& [name, m] : machines_) {
@@ -279,8 +279,8 @@
     if (added) claims.push_back({c.at->name, c.attempt, {}});
     claims[row->second].tasks.add(it->first);
   }
-  return records::write_block({job.rec.spec.ref, n, job.blocks[n].version}, job.last_try, job.done, claims, first,
-                              last);
+  return records::write_block({job.rec.spec.ref, n, job.blocks[n].version}, job.last_try, job.done, claims,
+                              first, last);
 }
 
 /// A slot in which no block stands and that this transaction does not use yet.
@@ -307,8 +307,8 @@
   }
 }
 
-/// Writes what has changed: final states first, then blocks in their order, many to a value. Every write depends
-/// on the leader's stamp, so whatever a former leader still has on its way fails by itself.
+/// Writes what has changed: final states first, then blocks in their order, many to a value. Every write
+/// depends on the leader's stamp, so whatever a former leader still has on its way fails by itself.
 void Ledger::flush() {
   if (committing_ || rt_.now() < commit_not_before_ || (dirty_.empty() && over_.empty())) return;
   const std::size_t ready = store_.writes_ready();
@@ -320,8 +320,9 @@
   add_finals(when, apply, pending);
 
   const auto value_limit = static_cast<std::size_t>(settings_.value_kb * 1024) - 2;
-  const std::size_t most = std::min({kMostSlots, settings_.txn_ops - std::min(settings_.txn_ops, apply.size()),
-                                     std::max<std::size_t>(1, ready - std::min(ready, apply.size()))});
+  const std::size_t most =
+      std::min({kMostSlots, settings_.txn_ops - std::min(settings_.txn_ops, apply.size()),
+                std::max<std::size_t>(1, ready - std::min(ready, apply.size()))});
   const bool progress_due = full && rt_.now() - progress_since_ >= kProgressWait;
   std::vector<Value::List> values;
   std::size_t room = 0;  // in the last of the values
@@ -413,8 +414,8 @@
       for (const std::string& ref : p.finished) refresh(ref);
       return;
     case Commit::Result::invalid:
-      spdlog::error("the state service calls a write of {} blocks and {} final states malformed", p.blocks.size(),
-                    p.finished.size());
+      spdlog::error("the state service calls a write of {} blocks and {} final states malformed",
+                    p.blocks.size(), p.finished.size());
       commit_not_before_ = rt_.now() + from_seconds(5);
       return;
     case Commit::Result::refused:
--- a/src/peer.cpp
+++ b/src/peer.cpp
@@ -43,8 +43,8 @@
   Value::List gone;
   for (const auto& [at, ref] : recent_) gone.emplace_back(ref);
   Value::Map out{{"node", settings_.node},      {"epoch", term_.epoch}, {"leader", term_.leader},
-                    {"leading", term_.leading},    {"store", store_},      {"hears", hears_},
-                    {"withdrawn", std::move(gone)}};
+                 {"leading", term_.leading},    {"store", store_},      {"hears", hears_},
+                 {"withdrawn", std::move(gone)}};
   if (untold_) {
     Value::List rows;
     rows.reserve(untold_->rows.size());
--- a/src/planner.cpp
+++ b/src/planner.cpp
@@ -43,7 +43,8 @@
 /// How much of the machine stays unused by tasks of this need, from 0 to 1: the more, the worse the fit.
 double misfit(const PlanHost& host, const Needs& need) {
   const Needs& all = host.flavor->room;
-  return all.cores > 0 ? static_cast<double>(host.room.cores - need.cores) / static_cast<double>(all.cores) : 0;
+  return all.cores > 0 ? static_cast<double>(host.room.cores - need.cores) / static_cast<double>(all.cores)
+                       : 0;
 }
 
 }  // namespace
@@ -199,7 +200,8 @@
       if (fits == 0) continue;
       Micros finish = finish_time(host, job);
       if (has_image(h, spec)) finish -= fetch_time(host, spec);
-      candidates.push_back({h, finish, host.flavor->room.cores, !host.standby, misfit(host, spec.needs), fits});
+      candidates.push_back(
+          {h, finish, host.flavor->room.cores, !host.standby, misfit(host, spec.needs), fits});
     }
     std::sort(candidates.begin(), candidates.end(), [](const Candidate& a, const Candidate& b) {
       const auto ra = a.finish / kAlike;
--- a/src/provisioner.cpp
+++ b/src/provisioner.cpp
@@ -25,8 +25,8 @@
 /// A worker waits this long for an answer, and this long before it asks the next node.
 constexpr Micros kWorkerPatience = from_seconds(4);
 constexpr Micros kWorkerRetry = from_seconds(1);
-/// Jobs that can wait are left to the room that running tasks make: no spot machine is rented for what is predicted
-/// to start within this part of the time that they may wait, no ordinary one within that part.
+/// Jobs that can wait are left to the room that running tasks make: no spot machine is rented for what is
+/// predicted to start within this part of the time that they may wait, no ordinary one within that part.
 constexpr double kSpotWait = 0.0;
 constexpr double kOrdinaryWait = 0.4;
 constexpr Micros kMostWait = from_seconds(90);
@@ -63,8 +63,10 @@
   listing_ = returning_ = false;
   bookings_made_ = 0;
   next_list_ = next_catalog_ = rt_.now();
-  // What an earlier leader rented shows only after the list's lag; before that it would be rented twice.
-  rent_not_before_ = rt_.now() + (t.epoch > 1 ? settings_.list_lag : Micros{0});
+  // Machines that run report first. What an earlier leader rented shows only after the list's lag; before that it would
+  // be rented twice, which is cheap with spot machines alone.
+  rent_not_before_ = rt_.now() + (t.epoch > 1 ? settings_.report * 5 / 4 + kWorkerRetry : Micros{0});
+  ordinary_not_before_ = rt_.now() + (t.epoch > 1 ? settings_.list_lag : Micros{0});
 }
 
 void Provisioner::tick() {
@@ -351,8 +353,10 @@
     }
     if (h.claims > 0 || (h.usable && !m.up)) m.idle_since = now;  // booting is not idling
     if (h.usable) m.up = true;
-    // It was up under an earlier leader, and a worker that still is finds this one within a report and a lost answer.
-    if (!m.up && h.claims > 0 && now - term_began_ > found_within()) give_back(h.host, "it is not heard in this term");
+    // It was up under an earlier leader, and a worker that still is finds this one within a report and a lost
+    // answer.
+    if (!m.up && h.claims > 0 && now - term_began_ > found_within())
+      give_back(h.host, "it is not heard in this term");
     m.booked = h.booked;
     m.working = h.running;
     if (m.draining && h.claims == 0) give_back(h.host, "it is idle");
@@ -400,9 +404,11 @@
   for (const auto& [kind, s] : spent_) {
     if (s.total() <= 0) continue;
     const double percent = 100 / s.total();
-    spdlog::info("spent {:.2f} on {} {}: run {:.0f}%, fetch and wait {:.0f}%, spare {:.0f}%, idle {:.0f}%, boot {:.0f}%",
-                 s.total(), kind.second ? "spot" : "ordinary", kind.first, s.run * percent, s.wait * percent,
-                 s.spare * percent, s.idle * percent, s.boot * percent);
+    spdlog::info(
+        "spent {:.2f} on {} {}: run {:.0f}%, fetch and wait {:.0f}%, spare {:.0f}%, idle {:.0f}%, boot "
+        "{:.0f}%",
+        s.total(), kind.second ? "spot" : "ordinary", kind.first, s.run * percent, s.wait * percent,
+        s.spare * percent, s.idle * percent, s.boot * percent);
   }
   spent_.clear();
 }
@@ -479,7 +485,8 @@
     const double per_task = from_amount(d.spec.needs.cores) * to_seconds(d.estimate);
     const auto mine = [&](const std::string& flavor) {
       return !d.keep_off.contains(flavor) && d.spec.needs.fits(catalog_->at(flavor).room) &&
-             d.spec.allows(flavor, d.spec.site.empty() ? catalog_->at(flavor).sites.front() : d.spec.site, false);
+             d.spec.allows(flavor, d.spec.site.empty() ? catalog_->at(flavor).sites.front() : d.spec.site,
+                           false);
     };
     double cores = 0;
     double ahead = 0;
@@ -525,6 +532,7 @@
             kind = {name, site, standby};
             if (!d.spec.allows(name, site, standby)) continue;
             if (refused(kind)) continue;
+            if (!standby && now < ordinary_not_before_) continue;
             if (!standby && d.spec.standby && left + wait_for_spot <= wait_for_any) continue;
             const double cost = (standby ? f.low_price : f.rate) * hold / per;
             if (cost < best_cost) {
--- a/tests/standins/world.cpp
+++ b/tests/standins/world.cpp
@@ -731,8 +731,8 @@
 }
 
 void World::step_machines() {
-  checker.leaders(static_cast<int>(
-      std::count_if(nodes_.begin(), nodes_.end(), [](const auto& n) { return n && n->controller.certain(); })));
+  checker.leaders(static_cast<int>(std::count_if(
+      nodes_.begin(), nodes_.end(), [](const auto& n) { return n && n->controller.certain(); })));
   expire_holds();
   wake_follows();
   // What the cloud would list now; requests see it later.
