Stand-in: a gang completes as a whole; a conversion that warned

The test of troubles together called a gang done whose task on a hung machine had not completed. The protocol says that all are done when one is, so the stand-in was wrong: tasks of a gang now complete together, and not while one hangs.

--- a/src/provisioner.cpp
+++ b/src/provisioner.cpp
@@ -501,7 +501,7 @@
     const auto served = [&](double share) {
       if (d.spec.shape != Shape::sweep || per_task <= 0) return 0U;
       const double wait = to_seconds(std::min(d.spare, kMostWait)) * share;
-      return static_cast<std::uint32_t>(std::clamp((cores * wait - ahead) / per_task, 0.0, double{d.tasks}));
+      return static_cast<std::uint32_t>(std::clamp((cores * wait - ahead) / per_task, 0.0, static_cast<double>(d.tasks)));
     };
     const std::uint32_t wait_for_spot = served(kSpotWait);
     const std::uint32_t wait_for_any = served(kOrdinaryWait);
--- a/tests/standins/world.cpp
+++ b/tests/standins/world.cpp
@@ -628,8 +628,12 @@
 void World::exit_task(Machine& m, Task& t, const std::string& cause) {
   if (t.on()) checker.left(t.ref, t.task, m.ref);
   if (cause == "done") {
-    checker.completed(t.ref, t.task);
-    results_.insert({t.ref, t.task});
+    // A gang completes together.
+    const bool gang = specs_.at(t.ref).shape == Shape::gang;
+    for (std::uint32_t i = gang ? 0 : t.task; i <= (gang ? specs_.at(t.ref).units - 1 : t.task); ++i) {
+      checker.completed(t.ref, i);
+      results_.insert({t.ref, i});
+    }
   }
   t.status = "ended";
   t.cause = cause;
@@ -827,11 +831,16 @@
         } else if (now_ - t.since > base_.gang_wait) {
           exit_task(m, t, "alone");
         }
+      } else if (t.status == "running" && gang && results_.contains({t.ref, t.task})) {
+        exit_task(m, t, "done");
       } else if (t.status == "running" && gang && now_ - t.since > base_.gang_peer &&
                  gangs[{t.ref, t.attempt}].second < spec.units && now_ < t.next) {
         exit_task(m, t, "peers");
       } else if (now_ >= t.next) {
-        if (t.status == "saving") {
+        // Not while one of a gang's tasks hangs or is gone.
+        if (gang && t.status == "running" && gangs[{t.ref, t.attempt}].second < spec.units) {
+          if (now_ - t.next > base_.gang_peer) exit_task(m, t, "peers");
+        } else if (t.status == "saving") {
           t.kept = true;
           exit_task(m, t, "stopped");
         } else {
