--- a/include/wrenusher/planner.hpp
+++ b/include/wrenusher/planner.hpp
@@ -44,7 +44,8 @@
   Instant clock{};
   std::vector<PlanJob> jobs;
   std::vector<PlanHost> hosts;
-  std::map<std::string, Needs> teams;  ///< what each team's claims use
+  std::map<std::string, Needs> teams;     ///< what each team's claims use
+  std::map<const Flavor*, Amount> cores;  ///< of all machines that report, with room or without
   const Settings* settings = nullptr;
 };
 
@@ -91,6 +92,9 @@
 Micros finish_time(const PlanHost& host, const PlanJob& job);
 /// The types on which a task of the job could run at all.
 std::set<std::string> fitting_flavors(const JobSpec& spec, const Catalog& catalog);
+/// Which jobs to give up on for now, so that the most jobs meet their next target: where the cores there are
+/// cannot serve all of one urgency in time, the largest of those that wait.
+std::vector<bool> overload(const Snapshot& s);
 /// The jobs in the order in which they are served.
 std::vector<std::size_t> order(const Snapshot& s);
 Plan place(Snapshot s);
--- a/src/ledger_rounds.cpp
+++ b/src/ledger_rounds.cpp
@@ -154,7 +154,9 @@
   for (auto& [name, m] : machines_) {
     if (s.jobs.empty()) break;
     const auto flavor = catalog_->find(m.flavor);
-    if (!m.usable() || flavor == catalog_->end() || s.clock < m.full_until) continue;
+    if (!m.usable() || flavor == catalog_->end()) continue;
+    s.cores[&flavor->second] += flavor->second.room.cores;
+    if (s.clock < m.full_until) continue;
     Needs room = flavor->second.room;
     room -= m.booked;
     if (!least.fits(room)) continue;
--- a/src/planner.cpp
+++ b/src/planner.cpp
@@ -133,6 +133,69 @@
   return fetch_time(host, *job.spec) + run;
 }
 
+std::vector<bool> overload(const Snapshot& s) {
+  struct Item {
+    std::size_t job;
+    Micros spare;
+    double work;  ///< core seconds
+  };
+  std::vector<bool> out(s.jobs.size(), false);
+  std::vector<Item> items;
+  for (std::size_t j = 0; j < s.jobs.size(); ++j) {
+    const PlanJob& job = s.jobs[j];
+    const Slack sl = slack(job, s.now, s.settings->objectives);
+    if (sl.standing == Standing::late || sl.spare == Micros::max() || job.spec->shape != Shape::sweep)
+      continue;
+    items.push_back(
+        {j, sl.spare, job.waiting * from_amount(job.spec->needs.cores) * to_seconds(job.estimate)});
+  }
+  std::sort(items.begin(), items.end(), [&](const Item& a, const Item& b) {
+    return std::tuple(s.jobs[a.job].spec->urgency, a.spare, a.job) <
+           std::tuple(s.jobs[b.job].spec->urgency, b.spare, b.job);
+  });
+  const auto serves = [&](const Flavor& f, const PlanJob& job) {
+    return job.spec->needs.fits(f.room) && !job.keep_off.contains(f.name) &&
+           std::any_of(f.sites.begin(), f.sites.end(),
+                       [&](const std::string& z) { return job.spec->allows(f.name, z, false); });
+  };
+  // The rule of Moore and Hodgson: take the jobs by their time to spare; where one comes too late, leave out
+  // the largest so far. Work is spread evenly over the types that serve it.
+  std::map<const Flavor*, double> waiting;
+  const auto add = [&](const Item& item, double sign) {
+    double all = 0;
+    for (const auto& [f, n] : s.cores) all += serves(*f, s.jobs[item.job]) ? from_amount(n) : 0;
+    if (all <= 0) return 0.0;
+    double ahead = 0;
+    for (const auto& [f, n] : s.cores) {
+      if (!serves(*f, s.jobs[item.job])) continue;
+      waiting[f] += sign * item.work * from_amount(n) / all;
+      ahead += waiting[f];
+    }
+    return ahead / all;
+  };
+  std::vector<std::size_t> taken;
+  for (std::size_t i = 0; i < items.size(); ++i) {
+    const PlanJob& job = s.jobs[items[i].job];
+    if (add(items[i], 1) <= to_seconds(items[i].spare)) {
+      taken.push_back(i);
+      continue;
+    }
+    taken.push_back(i);
+    std::size_t most = taken.size() - 1;
+    for (std::size_t k = 0; k < taken.size(); ++k) {
+      const Item& other = items[taken[k]];
+      const JobSpec& spec = *s.jobs[other.job].spec;
+      if (spec.urgency == job.spec->urgency && spec.needs == job.spec->needs &&
+          other.work > items[taken[most]].work)
+        most = k;
+    }
+    add(items[taken[most]], -1);
+    out[items[taken[most]].job] = true;
+    taken.erase(taken.begin() + static_cast<std::ptrdiff_t>(most));
+  }
+  return out;
+}
+
 std::vector<std::size_t> order(const Snapshot& s) {
   std::vector<std::size_t> out(s.jobs.size());
   std::iota(out.begin(), out.end(), std::size_t{0});
@@ -148,11 +211,15 @@
   };
   std::vector<Key> keys;
   keys.reserve(s.jobs.size());
-  for (const PlanJob& j : s.jobs) {
+  const std::vector<bool> given_up = overload(s);
+  for (std::size_t i = 0; i < s.jobs.size(); ++i) {
+    const PlanJob& j = s.jobs[i];
     const std::int64_t accepted = j.accepted.time_since_epoch().count();
     const std::int64_t due =
         j.spec->due ? accepted + j.spec->due->count() : std::numeric_limits<std::int64_t>::max();
-    const Slack sl = slack(j, s.now, s.settings->objectives);
+    Slack sl = slack(j, s.now, s.settings->objectives);
+    if (sl.standing == Standing::late) sl.left = Micros::max();
+    if (given_up[i]) sl = {Standing::late, sl.spare, sl.spare};
     keys.push_back(
         {j.spec->urgency, !below_guarantee(s, *j.spec), sl.standing, sl.left, -rank(j), due, accepted});
   }
