--- a/include/wrenusher/ledger.hpp
+++ b/include/wrenusher/ledger.hpp
@@ -25,6 +25,7 @@
 /// Machine types of which the cloud has none to give at present.
 struct CapacitySeen {
   std::set<std::string> exhausted;
+  std::map<std::string, std::uint32_t> coming;  ///< machines rented that are not up yet
 };
 
 /// What the provisioner needs to know, once a round at most.
@@ -261,6 +262,7 @@
   std::map<std::string, Held> held_;
   std::map<std::string, Needs> teams_;  ///< what each team's claims use
   std::set<std::string> exhausted_;
+  std::map<std::string, std::uint32_t> coming_;
   /// Types that some job needs because it fits no other: until when they are kept for such jobs.
   std::map<std::string, Instant> sought_until_;
 };
--- a/include/wrenusher/planner.hpp
+++ b/include/wrenusher/planner.hpp
@@ -17,6 +17,8 @@
   Micros estimate{};
   /// How many times over its tasks must be run, one after the other, under its team's ceiling.
   std::uint32_t waves = 1;
+  /// It fits into its team's guarantee, see `guaranteed`.
+  bool guaranteed = false;
   WallTime accepted{};
   /// Zones where tasks of the job are now, with their number.
   std::map<std::string, std::uint32_t> zones;
@@ -45,7 +47,7 @@
   std::vector<PlanJob> jobs;
   std::vector<PlanHost> hosts;
   std::map<std::string, Needs> teams;     ///< what each team's claims use
-  std::map<const Flavor*, Amount> cores;  ///< of all machines that report, with room or without
+  std::map<const Flavor*, Amount> cores;  ///< of all machines, with room or without, here or on their way
   const Settings* settings = nullptr;
 };
 
@@ -70,6 +72,16 @@
 /// in the settings, or its own due time.
 std::vector<Micros> targets(const JobSpec& spec, const std::vector<Objective>& objectives);
 
+/// An unfinished job, whether or not some of it waits.
+struct TeamJob {
+  const JobSpec* spec = nullptr;
+  std::uint32_t unfinished = 0;
+  WallTime accepted{};
+};
+/// Which jobs fit into their team's guarantee together with the team's earlier ones: they need not wait for
+/// other teams. A job that does not fit as a whole has no claim to go first.
+std::vector<bool> guaranteed(std::vector<TeamJob> jobs, const Settings& settings);
+
 /// How a job stands against its next target.
 enum class Standing {
   pressed,   ///< must start soon to meet it
--- a/src/ledger.cpp
+++ b/src/ledger.cpp
@@ -229,6 +229,7 @@
 void Ledger::on_capacity(const CapacitySeen& c) {
   if (c.exhausted != exhausted_) plan_needed_ = true;
   exhausted_ = c.exhausted;
+  coming_ = c.coming;
 }
 
 void Ledger::on_withdrawn(const JobWithdrawn& w) {
--- a/src/ledger_rounds.cpp
+++ b/src/ledger_rounds.cpp
@@ -108,6 +108,18 @@
   s.settings = &settings_;
   s.teams = teams_;
   std::vector<Job*> jobs;
+  std::vector<planner::TeamJob> unfinished;
+  std::vector<const Job*> owners;
+  for (const auto& [ref, job] : jobs_) {
+    if (job.rec.withdrawn) continue;
+    unfinished.push_back({&job.rec.spec, job.rec.spec.units - job.done.size(), job.rec.accepted});
+    owners.push_back(&job);
+  }
+  const std::vector<bool> fits = planner::guaranteed(std::move(unfinished), settings_);
+  std::set<const Job*> within;
+  for (std::size_t i = 0; i < owners.size(); ++i) {
+    if (fits[i]) within.insert(owners[i]);
+  }
   for (auto& [ref, job] : jobs_) {
     if (job.waiting.empty() || job.rec.withdrawn || s.clock < job.not_before) continue;
     const JobSpec& spec = job.rec.spec;
@@ -122,6 +134,7 @@
       p.waves = std::max(1U, (p.waiting + at_once - 1) / at_once);
     }
     p.accepted = job.rec.accepted;
+    p.guaranteed = within.contains(&job);
     p.avoid = &job.avoid;
     p.keep_off = keep_off(job, s.now);
     p.no_rent = p.keep_off;
@@ -150,6 +163,10 @@
                                   : Needs{std::min(least.cores, n.cores), std::min(least.cards, n.cards),
                                           std::min(least.memory, n.memory)};
   }
+  for (const auto& [name, n] : coming_) {
+    if (const auto f = catalog_->find(name); f != catalog_->end())
+      s.cores[&f->second] += f->second.room.cores * n;
+  }
   std::vector<Machine*> hosts;
   for (auto& [name, m] : machines_) {
     if (s.jobs.empty()) break;
--- a/src/planner.cpp
+++ b/src/planner.cpp
@@ -31,15 +31,6 @@
   return left;
 }
 
-bool below_guarantee(const Snapshot& s, const JobSpec& spec) {
-  const Team* team = s.settings->team(spec.owner);
-  if (team == nullptr || (team->cores <= 0 && team->cards <= 0)) return false;
-  Needs used;
-  if (const auto it = s.teams.find(spec.owner); it != s.teams.end()) used = it->second;
-  used += spec.needs;
-  return used.cores <= to_amount(team->cores) && used.cards <= to_amount(team->cards);
-}
-
 /// How much of the machine stays unused by tasks of this need, from 0 to 1: the more, the worse the fit.
 double misfit(const PlanHost& host, const Needs& need) {
   const Needs& all = host.flavor->room;
@@ -49,6 +40,27 @@
 
 }  // namespace
 
+std::vector<bool> guaranteed(std::vector<TeamJob> jobs, const Settings& settings) {
+  std::vector<std::size_t> by_age(jobs.size());
+  std::iota(by_age.begin(), by_age.end(), std::size_t{0});
+  std::sort(by_age.begin(), by_age.end(), [&](std::size_t a, std::size_t b) {
+    return std::tuple(jobs[a].accepted, jobs[a].spec->ref) < std::tuple(jobs[b].accepted, jobs[b].spec->ref);
+  });
+  std::vector<bool> out(jobs.size(), false);
+  std::map<std::string, Needs> sums;
+  for (const std::size_t i : by_age) {
+    const JobSpec& spec = *jobs[i].spec;
+    const Team* team = settings.team(spec.owner);
+    if (team == nullptr) continue;
+    Needs& sum = sums[spec.owner];
+    sum += spec.needs * jobs[i].unfinished;
+    const bool cores = spec.needs.cores == 0 || sum.cores <= to_amount(team->cores);
+    const bool cards = spec.needs.cards == 0 || sum.cards <= to_amount(team->cards);
+    out[i] = (team->cores > 0 || team->cards > 0) && cores && cards;
+  }
+  return out;
+}
+
 std::uint32_t count_fitting(const Needs& need, const Needs& room, std::uint32_t most) {
   Amount n = most;
   if (need.cores > 0) n = std::min(n, room.cores / need.cores);
@@ -220,8 +232,7 @@
     Slack sl = slack(j, s.now, s.settings->objectives);
     if (sl.standing == Standing::late) sl.left = Micros::max();
     if (given_up[i]) sl = {Standing::late, sl.spare, sl.spare};
-    keys.push_back(
-        {j.spec->urgency, !below_guarantee(s, *j.spec), sl.standing, sl.left, -rank(j), due, accepted});
+    keys.push_back({j.spec->urgency, !j.guaranteed, sl.standing, sl.left, -rank(j), due, accepted});
   }
   std::sort(out.begin(), out.end(), [&](std::size_t a, std::size_t b) {
     return keys[a] != keys[b] ? keys[a] < keys[b] : s.jobs[a].spec->ref < s.jobs[b].spec->ref;
--- a/src/provisioner.cpp
+++ b/src/provisioner.cpp
@@ -63,8 +63,8 @@
   listing_ = returning_ = false;
   bookings_made_ = 0;
   next_list_ = next_catalog_ = rt_.now();
-  // Machines that run report first. What an earlier leader rented shows only after the list's lag; before that it would
-  // be rented twice, which is cheap with spot machines alone.
+  // Machines that run report first. What an earlier leader rented shows only after the list's lag; before
+  // that it would be rented twice, which is cheap with spot machines alone.
   rent_not_before_ = rt_.now() + (t.epoch > 1 ? settings_.report * 5 / 4 + kWorkerRetry : Micros{0});
   ordinary_not_before_ = rt_.now() + (t.epoch > 1 ? settings_.list_lag : Micros{0});
 }
@@ -442,6 +442,10 @@
     // While the cloud gives no answers nothing can be had from it either.
     if (!some || troubles_ >= kTroubled) seen.exhausted.insert(name);
   }
+  for (const auto& [host, m] : machines_) {
+    if (!m.up && !m.returning) ++seen.coming[m.flavor];
+  }
+  for (const auto& [name, b] : open_bookings_) seen.coming[b.kind.flavor] += b.count;
   capacity(seen);
 }
 
@@ -501,7 +505,8 @@
     const auto served = [&](double share) {
       if (d.spec.shape != Shape::sweep || per_task <= 0) return 0U;
       const double wait = to_seconds(std::min(d.spare, kMostWait)) * share;
-      return static_cast<std::uint32_t>(std::clamp((cores * wait - ahead) / per_task, 0.0, static_cast<double>(d.tasks)));
+      return static_cast<std::uint32_t>(
+          std::clamp((cores * wait - ahead) / per_task, 0.0, static_cast<double>(d.tasks)));
     };
     const std::uint32_t wait_for_spot = served(kSpotWait);
     const std::uint32_t wait_for_any = served(kOrdinaryWait);
--- a/tests/planner_test.cpp
+++ b/tests/planner_test.cpp
@@ -63,9 +63,26 @@
   w.job("red", 1, 1, 10);                          // 1: within the guarantee
   w.job("red", 1, 1, 90);                          // 2: likewise, higher rank
   w.job("blue", 1, 1, 1).urgency = Urgency::high;  // 3: urgent
+  w.s.jobs[1].guaranteed = w.s.jobs[2].guaranteed = true;
   EXPECT_EQ(order(w.s), (std::vector<std::size_t>{3, 2, 1, 0}));
 }
 
+TEST(Planner, AGuaranteeHoldsForJobsThatFitAsAWholeWithTheTeamsEarlierOnes) {
+  // Red has 32 cores. A job too large for them once took them all, bit by bit, ahead of other teams' pressed
+  // jobs.
+  World w;
+  JobSpec& first = w.job("red", 4, 4, 60);   // 16 cores
+  JobSpec& large = w.job("red", 40, 4, 60);  // 160 cores
+  JobSpec& second = w.job("red", 4, 4, 60);  // would fit beside the first, but the large one came before it
+  JobSpec& other = w.job("blue", 1, 1, 60);  // no guarantee
+  const auto at = [](int s) { return WallTime{from_seconds(s)}; };
+  EXPECT_EQ(guaranteed({{&first, 4, at(1)}, {&large, 40, at(2)}, {&second, 4, at(3)}, {&other, 1, at(0)}},
+                       *w.s.settings),
+            (std::vector<bool>{true, false, false, false}));
+  EXPECT_EQ(guaranteed({{&second, 4, at(3)}, {&first, 4, at(1)}}, *w.s.settings),
+            (std::vector<bool>{true, true}));
+}
+
 TEST(Planner, TakesTheLeastFinishWithFetchIncluded) {
   World w;
   w.job("blue", 1, 4, 60).bundle = "hot";
