--- a/tests/planner_test.cpp
+++ b/tests/planner_test.cpp
@@ -189,6 +189,21 @@
   EXPECT_EQ(order(w.s), (std::vector<std::size_t>{2, 1, 4, 0, 3}));
 }
 
+TEST(Planner, UnderOverloadTheLargestJobWaitsSoThatMostAreInTime) {
+  // Served by due time alone, a job too many makes every one behind it late.
+  World w;
+  w.s.now = WallTime{from_seconds(1000)};
+  w.s.cores[&w.small] = to_amount(16);
+  for (const std::uint32_t tasks : {20U, 400U, 30U}) {
+    w.job("blue", tasks, 1, 10).due = from_seconds(60);
+    w.s.jobs.back().accepted = w.s.now;
+  }
+  EXPECT_EQ(overload(w.s), (std::vector<bool>{false, true, false}));
+  EXPECT_EQ(order(w.s).back(), 1U);
+  w.s.cores[&w.small] = to_amount(160);
+  EXPECT_EQ(overload(w.s), (std::vector<bool>{false, false, false}));
+}
+
 TEST(Planner, LeavesTypesToThoseWhoNeedThem) {
   World w;
   w.job("blue", 2, 4, 30);
--- a/tests/standins/world.cpp
+++ b/tests/standins/world.cpp
@@ -40,6 +40,7 @@
   NodeRuntime(World& w, std::string name, double drift)
       : random_(w.random()()), w_(w), name_(std::move(name)), drift_(drift) {}
   bool alive = true;
+  Instant stalled_until{};
 
   Instant now() const override {
     return Instant{
@@ -49,15 +50,22 @@
   std::mt19937_64& random() override { return random_; }
   void post(std::function<void()> f) override { after(Micros{0}, std::move(f)); }
   void after(Micros delay, std::function<void()> f) override {
-    w_.at(delay, [this, f = std::move(f)] {
-      if (alive) f();
-    });
+    w_.at(delay, [this, f = std::move(f)]() mutable { run(std::move(f)); });
   }
   void fetch(const Endpoint& to, Request request, Micros timeout, Done done) override {
-    w_.send(name_, to, std::move(request), timeout, [this, done = std::move(done)](Outcome o) {
-      if (alive) done(std::move(o));
+    w_.send(name_, to, std::move(request), timeout, [this, done = std::move(done)](Outcome o) mutable {
+      run([done, o = std::move(o)]() mutable { done(std::move(o)); });
     });
   }
+  /// Runs `f`, once this controller moves again.
+  void run(std::function<void()> f) {
+    if (!alive) return;
+    if (w_.now() < stalled_until) {
+      w_.at(stalled_until - w_.now(), [this, f = std::move(f)]() mutable { run(std::move(f)); });
+    } else {
+      f();
+    }
+  }
 
  private:
   std::mt19937_64 random_;
@@ -178,8 +186,12 @@
   return s;
 }
 
-World::World(std::uint64_t seed, Settings settings)
-    : base_(std::move(settings)), checker(base_), random_(seed), store_(std::make_unique<Store>()) {
+World::World(std::uint64_t seed, Settings settings, int scale)
+    : base_(std::move(settings)),
+      checker(base_),
+      random_(seed),
+      store_(std::make_unique<Store>()),
+      scale_(scale) {
   handlers_[kState] = [this](const std::string& from, const Request& r, const Answer& a) {
     serve_state(from, r, a);
   };
@@ -209,10 +221,10 @@
   Node* n = nodes_[static_cast<std::size_t>(i)].get();
   names_[client(i)] = names_[peer(i)] = name;
   handlers_[client(i)] = [n](const std::string&, const Request& r, const Answer& a) {
-    n->controller.serve_client(r, a);
+    n->runtime.run([n, r, a] { n->controller.serve_client(r, a); });
   };
   handlers_[peer(i)] = [n](const std::string&, const Request& r, const Answer& a) {
-    n->controller.serve_peer(r, a);
+    n->runtime.run([n, r, a] { n->controller.serve_peer(r, a); });
   };
   n->controller.start();
 }
@@ -226,6 +238,15 @@
   at(back_after, [this, i] { start_node(i); });
 }
 
+void World::stall(int i, Micros how_long) {
+  if (const auto& n = nodes_[static_cast<std::size_t>(i)]) n->runtime.stalled_until = now_ + how_long;
+}
+
+std::size_t World::keys(const std::string& prefix) const {
+  return static_cast<std::size_t>(std::count_if(store_->keys.begin(), store_->keys.end(),
+                                                [&](const auto& k) { return k.first.starts_with(prefix); }));
+}
+
 void World::at(Micros delay, std::function<void()> f) {
   events_.push({now_ + delay, ++events_made_, std::make_shared<std::function<void()>>(std::move(f))});
 }
@@ -517,7 +538,7 @@
         for (const auto& [ref, m] : machines_)
           there += m->flavor == flavor && m->site == site && m->standby == spot;
         const Type& t = flavor == kTypes[0].name ? kTypes[0] : kTypes[1];
-        if (there >= (spot ? t.spot : t.ordinary)) break;
+        if (there >= scale_ * (spot ? t.spot : t.ordinary)) break;
         // Now and then one never comes up.
         add_machine(flavor, site, spot, from_seconds(pick(20) == 0 ? 1e6 : t.boot * uniform(0.6, 1.5)));
         names.push_back("m-" + std::to_string(machines_made_));
--- a/tests/standins/world.hpp
+++ b/tests/standins/world.hpp
@@ -21,7 +21,8 @@
   Settings base_;  // before the checker, which refers to it
 
  public:
-  explicit World(std::uint64_t seed, Settings settings = small_site());
+  /// `scale`: how many times the cloud's usual capacity there is.
+  explicit World(std::uint64_t seed, Settings settings = small_site(), int scale = 1);
   ~World();
 
   static Settings small_site();
@@ -44,6 +45,8 @@
 
   // Troubles
   void crash(int controller, Micros back_after);
+  /// The controller stands still: its timers and all that comes to it wait.
+  void stall(int controller, Micros how_long);
   void cut(const std::string& a, const std::string& b, Cut how);  ///< both ways, until healed
   void isolate(const std::string& who, Cut how, const std::set<std::string>& but = {});
   void heal();
@@ -59,6 +62,8 @@
 
   Checker checker;
   std::size_t live() const;
+  /// How many keys with the prefix the state service holds.
+  std::size_t keys(const std::string& prefix) const;
 
  private:
   struct Node;
@@ -112,6 +117,7 @@
   std::map<std::string, std::vector<std::string>> bookings_;
   std::deque<std::pair<Instant, Value>> lists_;
   int machines_made_ = 0;
+  int scale_ = 1;
   std::map<std::string, JobSpec> specs_;
   std::map<std::string, std::string> told_;
   std::set<std::string> mistaken_;
--- a/tests/world_test.cpp
+++ b/tests/world_test.cpp
@@ -87,6 +87,7 @@
          w.cut("c" + std::to_string(w.pick(3)), "state", Cut::hold);
          w.at(from_seconds(25), [&w] { w.heal(); });
        }},
+      {"one_stands_still", [](World& w) { w.stall(w.pick(3), from_seconds(w.uniform(1, 8))); }},
       {"machine_dies", [](World& w) { random_host(w, [&](const std::string& h) { w.die(h); }); }},
       {"machine_hangs",
        [](World& w) {
@@ -187,6 +188,56 @@
   }
 }
 
+TEST(Day, AControllerThatStoodStillBlamesNoMachine) {
+  // Reports waited unread while it stood still: silence that is its own. Not for as long as a worker waits
+  // for an answer, so that every worker stays with it.
+  World w(31);
+  for (int i = 1; i < 12; i += 2) w.submit(World::job(i, 4, 4, 200));
+  w.run(from_seconds(60));
+  const auto before = w.hosts();
+  ASSERT_GT(before.size(), 3U);
+  for (int round = 0; round < 4; ++round) {
+    for (int i = 0; i < 3; ++i) w.stall(i, from_seconds(3.3));
+    w.run(from_seconds(7));
+  }
+  const auto after = w.hosts();
+  for (const std::string& host : before)
+    EXPECT_NE(std::find(after.begin(), after.end(), host), after.end()) << host;
+  expect_kept(w);
+}
+
+TEST(Day, AThousandMachinesKeepTheRulesWhileControllersEnd) {
+  Settings s = World::small_site();
+  s.report = from_seconds(4);
+  s.lease = from_seconds(20);
+  s.teams = {{"red", 3200, 9600, 0, 0}, {"blue", 0, 0, 0, 0}};
+  World w(77, s, 80);
+  for (int i = 0; i < 60; ++i) {
+    const JobSpec j = World::job(i, 200, i % 4 == 3 ? 16 : 4, w.uniform(20, 50));
+    w.at(from_seconds(w.uniform(0, 40)), [&w, j] { w.submit(j); });
+  }
+  std::size_t most = 0;
+  std::size_t slots = 0;
+  for (int k = 0; k < 30; ++k) {
+    w.at(from_seconds(3 * k), [&] {
+      most = std::max(most, w.hosts().size());
+      slots = std::max(slots, w.keys("claims/"));
+    });
+  }
+  w.at(from_seconds(45), [&] { w.crash(0, from_seconds(3)); });
+  w.at(from_seconds(50), [&] { w.stall(1, from_seconds(2)); });
+  w.at(from_seconds(55), [&] {
+    for (int i = 0; i < 3; ++i) w.crash(i, from_seconds(3));
+  });
+  w.run(from_seconds(260));
+  expect_kept(w);
+  EXPECT_EQ(w.live(), 0U);
+  EXPECT_GT(most, 700U);
+  EXPECT_GT(w.checker.starts(), 10000U);
+  // Blocks move from value to value, and values are used again.
+  EXPECT_LT(slots, 120U);
+}
+
 TEST(Day, AJobThatFailsEverywhereDoesNotCostTheMachines) {
   World w(7);
   JobSpec bad = World::job(1, 4, 4, 10);
