--- a/include/wrenusher/controller.hpp
+++ b/include/wrenusher/controller.hpp
@@ -21,6 +21,7 @@
   void serve_peer(const Request& request, const Answer& answer) { peer_.serve(request, answer); }
 
   bool certain() const { return leadership_.certain(); }
+  std::string disagreement() const { return ledger_.disagreement(); }
 
  private:
   Settings settings_;
--- a/include/wrenusher/ledger.hpp
+++ b/include/wrenusher/ledger.hpp
@@ -66,6 +66,10 @@
   void on_withdrawn(const JobWithdrawn& w);
   void on_capacity(const CapacitySeen& c);
 
+  /// Reckons anew what is kept up step by step (booked room, images under way, teams, slots, what is to be
+  /// written), and says what differs; empty when nothing does.
+  std::string disagreement() const;
+
   Sink<std::shared_ptr<const Workload>> workload;
   Sink<std::shared_ptr<const Progress>> progress;
   Sink<DirectOrders> direct;
--- a/src/ledger.cpp
+++ b/src/ledger.cpp
@@ -303,6 +303,51 @@
 
 // ---------------------------------------------------------------- the picture
 
+std::string Ledger::disagreement() const {
+  std::map<const Machine*, Machine> machines;
+  std::map<std::string, Needs> teams;
+  std::vector<std::uint32_t> live(slots_.size(), 0);
+  std::size_t dirty = 0;
+  for (const auto& [ref, job] : jobs_) {
+    for (const auto& [task, c] : job.claims) {
+      Machine& m = machines[c.at];
+      m.booked += job.rec.spec.needs;
+      m.claims.emplace(std::pair(job.id, task), nullptr);
+      teams[job.rec.spec.owner] += job.rec.spec.needs;
+      if (c.phase == Phase::pulling) ++m.pulling[job.rec.spec.bundle];
+      if (c.phase == Phase::running) m.running += job.rec.spec.needs.cores;
+      if (job.done.contains(task) || job.waiting.contains(task))
+        return "a claimed task of " + ref + " waits or is done";
+    }
+    if (!job.rec.withdrawn && job.claims.size() + job.done.size() + job.waiting.size() != job.rec.spec.units)
+      return "tasks of " + ref + " are lost";
+    for (std::uint32_t n = 0; n < job.blocks.size(); ++n) {
+      const Block& b = job.blocks[n];
+      if (b.slot != kNoSlot) ++live[b.slot];
+      if ((b.dirty_since != 0) != (b.version > b.committed))
+        return "a block of " + ref + " is not where it belongs";
+      if (b.dirty_since == 0) continue;
+      ++dirty;
+      if (!dirty_.contains({b.rank, b.dirty_since, job.id, n}))
+        return "a block of " + ref + " would not be written";
+    }
+  }
+  if (dirty != dirty_.size()) return "blocks that are over would be written";
+  for (std::size_t n = 0; n < live.size(); ++n) {
+    if (live[n] != slots_[n].live) return "slot " + std::to_string(n) + " counts its blocks wrongly";
+  }
+  for (const auto& [name, m] : machines_) {
+    const Machine& anew = machines[&m];
+    if (!(anew.booked == m.booked) || anew.running != m.running || anew.pulling != m.pulling ||
+        anew.claims.size() != m.claims.size())
+      return "machine " + name + " is booked wrongly";
+  }
+  for (const auto& [team, used] : teams_) {
+    if (!(used == teams[team])) return "team " + team + " is counted wrongly";
+  }
+  return {};
+}
+
 Ledger::Job* Ledger::find(const std::string& ref) {
   const auto it = jobs_.find(ref);
   return it == jobs_.end() ? nullptr : &it->second;
--- a/tests/standins/checker.hpp
+++ b/tests/standins/checker.hpp
@@ -32,6 +32,10 @@
   void leaders(int certain) {
     if (certain > 1) breaks("two_leaders", std::to_string(certain) + " nodes are certain to lead");
   }
+  /// Nor is this: what a controller keeps up step by step must be what it would reckon anew.
+  void agrees(const std::string& disagreement) {
+    if (!disagreement.empty()) breaks("disagreement", disagreement);
+  }
   /// To be called now and then: finds what lasts too long.
   void look(Instant now);
 
--- a/tests/standins/world.cpp
+++ b/tests/standins/world.cpp
@@ -769,6 +769,9 @@
   wake_follows();
   // What the cloud would list now; requests see it later.
   if (lists_.empty() || now_ - lists_.back().first >= from_seconds(1)) {
+    for (const auto& n : nodes_) {
+      if (n) checker.agrees(n->controller.disagreement());
+    }
     Value::List list;
     for (const auto& [ref, m] : machines_) {
       const char* status = m->dead && now_ - m->died > from_seconds(20) ? "failed"
--- a/tests/world_test.cpp
+++ b/tests/world_test.cpp
@@ -388,6 +388,7 @@
   });
   caught("went_back", [&](Checker& c) { c.answered_poll(t0, j.ref, 200, "withdrawn"); });
   caught("two_leaders", [&](Checker& c) { c.leaders(2); });
+  caught("disagreement", [&](Checker& c) { c.agrees("a slot counts wrongly"); });
 }
 
 int main(int argc, char** argv) {
