Read-through: a value's room cannot wrap round; one predicate for the types that fit

flush() took a new value's room after adding its condition: a block within 48 bytes of the transaction's end would have made the room wrap round, the value grow without bound and every commit after it malformed. Whether a type fits a job stood three times (planner twice, rentals once, there without the job's own zone): now planner::fits_flavor.

--- a/include/wrenusher/planner.hpp
+++ b/include/wrenusher/planner.hpp
@@ -102,6 +102,8 @@
 Micros fetch_time(const PlanHost& host, const JobSpec& spec);
 /// Equation (5): when a task started now on this machine would end, counted from now.
 Micros finish_time(const PlanHost& host, const PlanJob& job);
+/// Whether a task of the job could run on a machine of this type, in some zone.
+bool fits_flavor(const JobSpec& spec, const Flavor& f);
 /// The types on which a task of the job could run at all.
 std::set<std::string> fitting_flavors(const JobSpec& spec, const Catalog& catalog);
 /// Which jobs to give up on for now, so that the most jobs meet their next target: where the cores there are
--- a/src/ledger_rounds.cpp
+++ b/src/ledger_rounds.cpp
@@ -360,9 +360,11 @@
     Value row = block_row(*job, n);
     const std::size_t size = row.json_size() + 1;
     if (size > room) {
-      const bool may = values.size() < most && (claims || progress_due) &&
-                       bytes + size + when.size() * kConditionBytes < kTxnBytes;
-      if (!may) {
+      // With the slot's own condition and, for a claim, its job's. A room too small by a few bytes must not
+      // be taken from: it would wrap round and let the value grow without bound.
+      const std::size_t taken = bytes + (when.size() + 2) * kConditionBytes;
+      const std::size_t fresh = std::min(value_limit, kTxnBytes - std::min(kTxnBytes, taken));
+      if (values.size() == most || size > fresh || !(claims || progress_due)) {
         left_progress = true;
         break;
       }
@@ -370,7 +372,7 @@
       pending.slots.push_back(slot);
       when.push_back({records::slot_key(slot), slots_[slot].stamp});
       values.emplace_back();
-      room = std::min(value_limit, kTxnBytes - std::min(kTxnBytes, bytes + when.size() * kConditionBytes));
+      room = fresh;
     }
     room -= size;
     bytes += size;
--- a/src/planner.cpp
+++ b/src/planner.cpp
@@ -94,14 +94,16 @@
   return allowed;
 }
 
+bool fits_flavor(const JobSpec& spec, const Flavor& f) {
+  return spec.needs.fits(f.room) && std::any_of(f.sites.begin(), f.sites.end(), [&](const std::string& z) {
+           return spec.allows(f.name, z, false);
+         });
+}
+
 std::set<std::string> fitting_flavors(const JobSpec& spec, const Catalog& catalog) {
   std::set<std::string> out;
   for (const auto& [name, f] : catalog) {
-    if (!spec.needs.fits(f.room)) continue;
-    if (std::any_of(f.sites.begin(), f.sites.end(),
-                    [&](const std::string& z) { return spec.allows(name, z, false); })) {
-      out.insert(name);
-    }
+    if (fits_flavor(spec, f)) out.insert(name);
   }
   return out;
 }
@@ -166,9 +168,7 @@
            std::tuple(s.jobs[b.job].spec->urgency, b.spare, b.job);
   });
   const auto serves = [&](const Flavor& f, const PlanJob& job) {
-    return job.spec->needs.fits(f.room) && !job.keep_off.contains(f.name) &&
-           std::any_of(f.sites.begin(), f.sites.end(),
-                       [&](const std::string& z) { return job.spec->allows(f.name, z, false); });
+    return !job.keep_off.contains(f.name) && fits_flavor(*job.spec, f);
   };
   // The rule of Moore and Hodgson: take the jobs by their time to spare; where one comes too late, leave out
   // the largest so far. Work is spread evenly over the types that serve it.
@@ -188,11 +188,8 @@
   std::vector<std::size_t> taken;
   for (std::size_t i = 0; i < items.size(); ++i) {
     const PlanJob& job = s.jobs[items[i].job];
-    if (add(items[i], 1) <= to_seconds(items[i].spare)) {
-      taken.push_back(i);
-      continue;
-    }
     taken.push_back(i);
+    if (add(items[i], 1) <= to_seconds(items[i].spare)) continue;
     std::size_t most = taken.size() - 1;
     for (std::size_t k = 0; k < taken.size(); ++k) {
       const Item& other = items[taken[k]];
--- a/src/provisioner.cpp
+++ b/src/provisioner.cpp
@@ -487,9 +487,7 @@
     // What ends on the machines that there are makes room for the tasks that can wait for it.
     const double per_task = from_amount(d.spec.needs.cores) * to_seconds(d.estimate);
     const auto mine = [&](const std::string& flavor) {
-      return !d.keep_off.contains(flavor) && d.spec.needs.fits(catalog_->at(flavor).room) &&
-             d.spec.allows(flavor, d.spec.site.empty() ? catalog_->at(flavor).sites.front() : d.spec.site,
-                           false);
+      return !d.keep_off.contains(flavor) && planner::fits_flavor(d.spec, catalog_->at(flavor));
     };
     double cores = 0;
     double ahead = 0;
