--- a/apps/wrenusher/main.cpp
+++ b/apps/wrenusher/main.cpp
@@ -8,8 +8,8 @@
 #include <cstdlib>
 #include <iostream>
 
-#include "wrenusher/controller.hpp"
-#include "wrenusher/net.hpp"
+#include "wrenusher/controller/controller.hpp"
+#include "wrenusher/net/net.hpp"
 
 namespace {
 
@@ -42,11 +42,11 @@
   } catch (const CLI::ParseError& e) {
     return app.exit(e) == 0 ? 0 : kBadSettings;
   }
-  wrenusher::Settings settings;
+  wrenusher::settings::Settings settings;
   try {
-    settings = wrenusher::load_settings(config);
-    if (!tunables.empty()) settings.tunables = wrenusher::load_tunables(tunables);
-  } catch (const wrenusher::SettingsError& e) {
+    settings = wrenusher::settings::load_settings(config);
+    if (!tunables.empty()) settings.tunables = wrenusher::settings::load_tunables(tunables);
+  } catch (const wrenusher::settings::SettingsError& e) {
     std::cerr << "wrenusher: " << e.what() << '\n';
     return kBadSettings;
   }
@@ -56,14 +56,16 @@
   }
   set_up_log();
   try {
-    wrenusher::UvRuntime runtime(settings.max_sockets);
-    wrenusher::Controller controller(runtime, settings);
-    runtime.listen(
-        settings.client_listen, std::max(16, settings.max_sockets * 5 / 6),
-        [&](const wrenusher::Request& r, const wrenusher::Answer& a) { controller.serve_client(r, a); });
-    runtime.listen(settings.peer_listen, 16, [&](const wrenusher::Request& r, const wrenusher::Answer& a) {
-      controller.serve_peer(r, a);
-    });
+    wrenusher::net::UvRuntime runtime(settings.max_sockets);
+    wrenusher::controller::Controller controller(runtime, settings);
+    runtime.listen(settings.client_listen, std::max(16, settings.max_sockets * 5 / 6),
+                   [&](const wrenusher::base::Request& r, const wrenusher::base::Answer& a) {
+                     controller.serve_client(r, a);
+                   });
+    runtime.listen(settings.peer_listen, 16,
+                   [&](const wrenusher::base::Request& r, const wrenusher::base::Answer& a) {
+                     controller.serve_peer(r, a);
+                   });
     spdlog::info("wrenusher {} starts as {} in zone {}", WRENUSHER_VERSION, settings.node, settings.zone);
     controller.start();
     runtime.run();
--- a/include/wrenusher/range_set.hpp
+++ b/src/base/include/wrenusher/base/range_set.hpp
@@ -5,9 +5,9 @@
 #include <map>
 #include <optional>
 
-#include "wrenusher/value.hpp"
+#include "wrenusher/base/value.hpp"
 
-namespace wrenusher {
+namespace wrenusher::base {
 
 class RangeSet {
  public:
@@ -32,4 +32,4 @@
   std::uint32_t size_ = 0;
 };
 
-}  // namespace wrenusher
+}  // namespace wrenusher::base
--- a/include/wrenusher/runtime.hpp
+++ b/src/base/include/wrenusher/base/runtime.hpp
@@ -1,5 +1,7 @@
 #pragma once
-// What an actor may ask of the world. The daemon gives it sockets and clocks, the tests simulated ones.
+// Package base: times, the values that travel, sets of task numbers, and what an actor may ask of the world
+// (the daemon gives it sockets and clocks, tests simulated ones). It owns no state and depends on no other
+// package.
 
 #include <cstdint>
 #include <functional>
@@ -8,9 +10,9 @@
 #include <utility>
 #include <vector>
 
-#include "wrenusher/time.hpp"
+#include "wrenusher/base/time.hpp"
 
-namespace wrenusher {
+namespace wrenusher::base {
 
 /// "host:port" of a service, by IP number.
 using Endpoint = std::string;
@@ -78,4 +80,4 @@
   std::vector<std::function<void(const Message&)>> receivers_;
 };
 
-}  // namespace wrenusher
+}  // namespace wrenusher::base
--- a/src/value.cpp
+++ b/src/base/value.cpp
@@ -1,10 +1,10 @@
-#include "wrenusher/value.hpp"
+#include "wrenusher/base/value.hpp"
 
 #include <cbor.h>
 
 #include <cmath>
 
-namespace wrenusher {
+namespace wrenusher::base {
 
 namespace {
 
@@ -312,4 +312,4 @@
   return b.take();
 }
 
-}  // namespace wrenusher
+}  // namespace wrenusher::base
--- /dev/null
+++ b/src/book/include/wrenusher/book/book.hpp
@@ -0,0 +1,170 @@
+#pragma once
+// Package book: the book of live jobs and their claims. It owns which task of a job waits, is claimed (and on
+// which machine, in which state) or is done, what each team uses, and which stretches of which jobs differ
+// from the store, in the order in which they are to be written. Invariant: a task of a job that is not
+// withdrawn is in exactly one of the three, and a stretch is due exactly when its version is above the
+// committed one (`disagreement` compares). Every change of a claim goes through here, so that machines and
+// teams never differ from the claims. It may depend on base, protocol, records and machines.
+
+#include <map>
+#include <set>
+#include <string>
+#include <tuple>
+#include <unordered_map>
+#include <vector>
+
+#include "wrenusher/base/range_set.hpp"
+#include "wrenusher/machines/machines.hpp"
+#include "wrenusher/records/records.hpp"
+
+namespace wrenusher::book {
+
+using namespace base;
+using namespace protocol;
+using machines::Machine;
+using machines::Machines;
+
+enum class Phase {
+  fresh,   ///< claimed in this term, not yet shown by a report
+  loaded,  ///< found in the record at takeover, not yet shown by a report
+  pulling,
+  gathering,
+  running,
+  saving
+};
+
+struct Claim {
+  Machine* at = nullptr;
+  std::uint64_t attempt = 0;
+  std::uint64_t version = 0;  ///< of the change that made it; 0: found in the store
+  Phase phase = Phase::fresh;
+  Instant claimed{};
+  Instant pulling_since{};
+  Instant gathering_since{};
+  Instant running_since{};
+  bool halt = false;
+  Micros leeway{};
+  std::uint64_t shown = 0;  ///< the last report that listed it
+  bool pulls = false;       ///< counted among those that wait for their image
+};
+
+/// A stretch of a job's tasks, written as a whole.
+struct Block {
+  std::uint64_t version = 0;      ///< of the last change in memory
+  std::uint64_t claimed = 0;      ///< of the last new claim
+  std::uint64_t committed = 0;    ///< changes up to this one are in the store
+  std::uint64_t dirty_since = 0;  ///< 0: nothing to write
+  int rank = 0;
+};
+
+struct Job {
+  std::uint64_t id = 0;  ///< rises with every job that is taken up, so that orders by it repeat
+  records::JobRecord rec;
+  std::uint64_t stamp = 0;
+  std::vector<Block> blocks;
+  RangeSet done;
+  RangeSet waiting;
+  std::map<std::uint32_t, Claim> claims;
+  std::map<std::uint32_t, std::uint64_t> fresh_done;  ///< done, not yet committed: task -> version
+  std::uint64_t last_try = 0;
+  bool refresh = false;  ///< the store must be read before the next write
+  bool broken = false;   ///< gang: the attempt is over, its tasks are being cleared away
+  std::map<std::string, Instant> avoid;
+  std::set<std::string> error_hosts;
+  Instant not_before{};
+  Instant near_image_until{};  ///< a service waits so long for room to be made where its image is
+  int backoffs = 0;
+
+  const JobSpec& spec() const { return rec.spec; }
+  std::uint32_t block_of(std::uint32_t task) const { return task / rec.block; }
+  /// Whether the claim or end of the task that `version` made is in the store.
+  bool committed(std::uint32_t task, std::uint64_t version) const {
+    return version <= blocks[block_of(task)].committed;
+  }
+  /// Whether the claim for this task stands on this machine under this attempt.
+  bool holds(std::uint32_t task, const Machine& m, std::uint64_t attempt) const;
+};
+
+/// Blocks with new claims are ranked by their job's urgency, before this; the rest is progress.
+inline constexpr int kProgressRank = 4;
+/// Where a block stands in the order of writing: rank, since when, job, block.
+using DirtyKey = std::tuple<int, std::uint64_t, std::uint64_t, std::uint32_t>;
+/// Orders by machine.
+using Orders = std::map<std::string, std::vector<Order>>;
+/// The claims on a machine: (job id, task) -> job.
+using Tenants = std::map<std::pair<std::uint64_t, std::uint32_t>, Job*>;
+
+class Book {
+ public:
+  Book(Runtime& rt, Machines& machines) : rt_(rt), machines_(machines) {}
+
+  /// A new term: an empty book, whose versions are above those of every earlier term. The machines are to be
+  /// cleared with it.
+  void begin(std::uint64_t epoch);
+
+  /// Null when it is not known.
+  Job* find(const std::string& ref);
+  const Job* find(const std::string& ref) const;
+  std::unordered_map<std::string, Job>& jobs() { return jobs_; }
+  const std::unordered_map<std::string, Job>& jobs() const { return jobs_; }
+  const Tenants& on(const Machine& m) const;
+  /// What each team's claims use.
+  const std::map<std::string, Needs>& teams() const { return teams_; }
+  /// Rises whenever room is freed or work arrives: reasons to plan.
+  std::uint64_t news() const { return news_; }
+
+  Job& accept(const std::string& ref, records::JobRecord rec, std::uint64_t stamp);
+  /// The job is over: nothing of it stays booked or remembered.
+  void drop(const std::string& ref);
+  void claim(Job& job, std::uint32_t task, Machine& m, std::uint64_t attempt, Phase phase);
+  /// A block as it was found in the store: not to be written again.
+  void restore(Job& job, std::uint32_t n, std::uint64_t version, const records::BlockRecord& b);
+  /// The task is proven to be off its machine and is not done.
+  void release(Job& job, std::uint32_t task, const char* why);
+  void finish(Job& job, std::uint32_t task);
+  /// Nothing of the job starts any more; what there is of it is still to be halted.
+  void withdraw(Job& job);
+  /// Stops all tasks of a job at once; tells what to send to those whose machines may have them. A gang's
+  /// progress is saved only if all of them are told within a few seconds, so these orders do not wait for
+  /// reports.
+  Orders halt(Job& job, Micros leeway);
+  /// Keeps count of what is in use.
+  void set_phase(const Job& job, Claim& c, Phase phase);
+  /// The task waits for its image, unless that is there.
+  void begin_pull(const Job& job, Claim& c);
+  /// It has its image, or is gone.
+  void end_pull(const Job& job, Claim& c);
+
+  /// What is to be written, in order.
+  const std::map<DirtyKey, Job*>& unwritten() const { return dirty_; }
+  /// Jobs whose final state is due to be written.
+  const std::set<std::string>& over() const { return over_; }
+  /// The block is in the store as of this version.
+  void written(Job& job, std::uint32_t n, std::uint64_t version);
+  /// The block as a row of a value in the store.
+  Value row(const Job& job, std::uint32_t n) const;
+
+  /// Reckons anew what is kept up step by step, and says what differs; empty when nothing does.
+  std::string disagreement() const;
+
+ private:
+  void unclaim(Job& job, std::uint32_t task);
+  void touch(Job& job, std::uint32_t task, bool claimed);
+  void rank_block(Job& job, std::uint32_t n);
+  void unrank_block(Job& job, std::uint32_t n);
+  void check_over(const Job& job);
+  void break_gang(Job& job);
+
+  Runtime& rt_;
+  Machines& machines_;
+  std::uint64_t clock_ = 0;  ///< version of the newest change
+  std::uint64_t jobs_taken_ = 0;
+  std::uint64_t news_ = 0;
+  std::unordered_map<std::string, Job> jobs_;
+  std::unordered_map<const Machine*, Tenants> tenants_;
+  std::map<std::string, Needs> teams_;
+  std::map<DirtyKey, Job*> dirty_;
+  std::set<std::string> over_;
+};
+
+}  // namespace wrenusher::book
--- a/src/controller.cpp
+++ b/src/controller/controller.cpp
@@ -1,6 +1,6 @@
-#include "wrenusher/controller.hpp"
+#include "wrenusher/controller/controller.hpp"
 
-namespace wrenusher {
+namespace wrenusher::controller {
 
 namespace {
 
@@ -77,4 +77,4 @@
   }
 }
 
-}  // namespace wrenusher
+}  // namespace wrenusher::controller
--- /dev/null
+++ b/src/controller/include/wrenusher/controller/controller.hpp
@@ -0,0 +1,47 @@
+#pragma once
+// Package controller: one controller node. It owns the actors and the wiring of their messages, and is the
+// only package that sees them all. It may depend on every package but net.
+
+#include "wrenusher/desk/frontdesk.hpp"
+#include "wrenusher/fleet/fleet.hpp"
+#include "wrenusher/ledger/ledger.hpp"
+#include "wrenusher/membership/leadership.hpp"
+#include "wrenusher/membership/peer.hpp"
+#include "wrenusher/provisioner/provisioner.hpp"
+
+namespace wrenusher::controller {
+
+using namespace base;
+using namespace settings;
+using namespace store;
+using namespace membership;
+using namespace desk;
+using namespace fleet;
+using namespace ledger;
+using namespace provisioner;
+
+class Controller {
+ public:
+  Controller(Runtime& rt, Settings settings);
+  void start();
+
+  /// A request on `client_listen`: a user's, a worker's or a health check.
+  void serve_client(const Request& request, const Answer& answer);
+  /// A request on `peer_listen`.
+  void serve_peer(const Request& request, const Answer& answer) { peer_.serve(request, answer); }
+
+  bool certain() const { return leadership_.certain(); }
+  std::string disagreement() const { return ledger_.disagreement(); }
+
+ private:
+  Settings settings_;
+  Store store_;
+  Leadership leadership_;
+  Peer peer_;
+  Frontdesk frontdesk_;
+  Fleet fleet_;
+  Ledger ledger_;
+  Provisioner provisioner_;
+};
+
+}  // namespace wrenusher::controller
--- a/src/frontdesk.cpp
+++ b/src/desk/frontdesk.cpp
@@ -1,13 +1,13 @@
-#include "wrenusher/frontdesk.hpp"
+#include "wrenusher/desk/frontdesk.hpp"
 
 #include <spdlog/spdlog.h>
 
 #include <algorithm>
 #include <tuple>
 
-#include "wrenusher/records.hpp"
+#include "wrenusher/records/records.hpp"
 
-namespace wrenusher {
+namespace wrenusher::desk {
 
 namespace {
 
@@ -337,4 +337,4 @@
   });
 }
 
-}  // namespace wrenusher
+}  // namespace wrenusher::desk
--- a/include/wrenusher/frontdesk.hpp
+++ b/src/desk/include/wrenusher/desk/frontdesk.hpp
@@ -1,19 +1,23 @@
 #pragma once
-// Users' requests, on any node: everything is decided by the state service, nothing by this node's memory but
-// final states.
+// Package desk: users' requests, on any node. Everything is decided by the state service, nothing by this
+// node's memory but final states; it owns the cache of those and the questions that the next comparison
+// settles. It may depend on base, settings, protocol, store, records and mail.
 
 #include <deque>
 #include <memory>
 #include <unordered_map>
 
-#include "wrenusher/peer.hpp"
+#include "wrenusher/mail/mail.hpp"
+#include "wrenusher/settings/settings.hpp"
+#include "wrenusher/store/store.hpp"
 
-namespace wrenusher {
+namespace wrenusher::desk {
 
-/// The machine types, as the cloud or the state service last gave them.
-struct CatalogSeen {
-  std::shared_ptr<const Catalog> catalog;
-};
+using namespace base;
+using namespace settings;
+using namespace protocol;
+using namespace store;
+using namespace mail;
 
 class Frontdesk {
  public:
@@ -76,4 +80,4 @@
   bool checking_ = false;
 };
 
-}  // namespace wrenusher
+}  // namespace wrenusher::desk
--- a/src/estimator.cpp
+++ b/src/estimates/estimator.cpp
@@ -1,9 +1,9 @@
-#include "wrenusher/estimator.hpp"
+#include "wrenusher/estimates/estimator.hpp"
 
 #include <algorithm>
 #include <cmath>
 
-namespace wrenusher {
+namespace wrenusher::estimates {
 
 namespace {
 
@@ -78,4 +78,4 @@
   return it == hosts_.end() ? 1.0 : it->second.speed;
 }
 
-}  // namespace wrenusher
+}  // namespace wrenusher::estimates
--- a/include/wrenusher/estimator.hpp
+++ b/src/estimates/include/wrenusher/estimates/estimator.hpp
@@ -1,14 +1,18 @@
 #pragma once
-// What the owners' estimates are worth: the run time seen per job and queue, and the speed seen per machine.
+// Package estimates: what the owners' estimates are worth. It owns the run times seen by job and queue, and
+// the speed seen by machine. It may depend on base and protocol.
 
 #include <deque>
 #include <map>
 #include <string>
 #include <vector>
 
-#include "wrenusher/messages.hpp"
+#include "wrenusher/protocol/messages.hpp"
 
-namespace wrenusher {
+namespace wrenusher::estimates {
+
+using namespace base;
+using namespace protocol;
 
 class Estimator {
  public:
@@ -41,4 +45,4 @@
   std::map<std::string, Host> hosts_;
 };
 
-}  // namespace wrenusher
+}  // namespace wrenusher::estimates
--- a/src/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -1,10 +1,10 @@
-#include "wrenusher/fleet.hpp"
+#include "wrenusher/fleet/fleet.hpp"
 
 #include <spdlog/spdlog.h>
 
 #include <algorithm>
 
-namespace wrenusher {
+namespace wrenusher::fleet {
 
 namespace {
 constexpr Micros kTick = millis(250);
@@ -164,4 +164,4 @@
   rt_.after(kTick, [this] { tick(); });
 }
 
-}  // namespace wrenusher
+}  // namespace wrenusher::fleet
--- a/include/wrenusher/fleet.hpp
+++ b/src/fleet/include/wrenusher/fleet/fleet.hpp
@@ -1,41 +1,21 @@
 #pragma once
-// Workers: their reports, the way orders reach them, who answers them, and which have gone silent.
+// Package fleet: workers, their reports, the way orders reach them, who answers them, and which have gone
+// silent. It owns, by machine, the newest report's place in order and when it came; what the report means is
+// for the ledger. It may depend on base, settings, protocol and mail.
 
 #include <deque>
 #include <memory>
 #include <set>
 
-#include "wrenusher/leadership.hpp"
+#include "wrenusher/mail/mail.hpp"
+#include "wrenusher/settings/settings.hpp"
 
-namespace wrenusher {
+namespace wrenusher::fleet {
 
-/// A worker's newest word.
-struct HostReported {
-  std::shared_ptr<const WorkerReport> report;
-  /// The worker has accepted this term's epoch: nothing an earlier leader sent can start any more.
-  bool current = false;
-  /// A report, not the answer to /orders: what was sent in the response before it is settled.
-  bool settled = false;
-  /// Takes the orders; to be called once.
-  std::function<void(std::vector<Order>)> reply;
-};
-
-/// A worker has not been heard for long. It proves nothing about its tasks.
-struct HostQuiet {
-  std::string host;
-};
-
-/// Proof: the cloud has taken the machine away with everything on it.
-struct HostGone {
-  std::string host;
-};
-
-/// Orders that should not wait for the worker's next report. Never `run`: sent this way it could be executed
-/// minutes late.
-struct DirectOrders {
-  std::string host;
-  std::vector<Order> orders;
-};
+using namespace base;
+using namespace settings;
+using namespace protocol;
+using namespace mail;
 
 class Fleet {
  public:
@@ -81,4 +61,4 @@
   std::deque<std::string> gone_order_;
 };
 
-}  // namespace wrenusher
+}  // namespace wrenusher::fleet
--- /dev/null
+++ b/src/ledger/ledger.cpp
@@ -0,0 +1,248 @@
+#include "wrenusher/ledger/ledger.hpp"
+
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+
+namespace wrenusher::ledger {
+
+namespace {
+
+constexpr Micros kFollowWait = from_seconds(10);
+/// Between two follows, so that a burst of our own writes does not come back one by one.
+constexpr Micros kFollowPause = millis(100);
+constexpr Micros kRetryRead = millis(250);
+/// The answer to a report waits this long for the commit of what the report brought: the room that a task
+/// leaves is then used at once, not at the worker's next report.
+constexpr Micros kHoldAnswer = millis(800);
+
+}  // namespace
+
+Ledger::Ledger(Runtime& rt, const Settings& settings, Store& store)
+    : rt_(rt),
+      settings_(settings),
+      store_(store),
+      machines_(rt, estimator_),
+      book_(rt, machines_),
+      writer_(rt, settings, store, book_),
+      reports_(rt, book_, machines_, estimator_, waits_),
+      rounds_(rt, settings, book_, machines_, estimator_),
+      takeover_(rt, store, book_, writer_) {
+  writer_.on_committed = [this] {
+    answer_held();
+    wake();
+  };
+  writer_.on_ready = [this] { wake(); };
+  writer_.on_doubt = [this](const std::string& ref) { refresh(ref); };
+  writer_.on_deposed = [this] { deposed(Deposed{0}); };
+}
+
+void Ledger::start() {
+  tick();
+}
+
+std::string Ledger::disagreement() const {
+  const std::string book = book_.disagreement();
+  return book.empty() ? writer_.disagreement() : book;
+}
+
+// ---------------------------------------------------------------- terms and news from the store
+
+void Ledger::on_term(const TermChanged& t) {
+  const bool same = t.leading && term_.leading && t.epoch == term_.epoch;
+  term_ = t;
+  if (same) return;
+  loaded_ = false;
+  held_.void_all();
+  book_.begin(term_.epoch);
+  machines_.clear();
+  writer_.begin(term_.stamp);
+  takeover_.stop();
+  term_began_ = rt_.now();
+  if (term_.leading) takeover_.begin([this](std::uint64_t revision) { loaded(revision); });
+}
+
+void Ledger::loaded(std::uint64_t revision) {
+  loaded_ = true;
+  std::size_t claims = 0;
+  for (const auto& [host, m] : machines_.all()) claims += m.use.claims;
+  spdlog::info("term {}: {} live jobs and {} claims read in {:.2f} s", term_.epoch, book_.jobs().size(),
+               claims, to_seconds(rt_.now() - term_began_));
+  follow(revision, term_.epoch);
+}
+
+void Ledger::follow(std::uint64_t from, std::uint64_t epoch) {
+  store_.follow("job/", from, kFollowWait, [this, from, epoch](const FollowReply& f) {
+    if (!open_in(epoch)) return;
+    std::uint64_t next = from;
+    if (f.result == FollowReply::Result::too_old) {
+      spdlog::warn("changes were missed: reading all live jobs again");
+      term_.leading = false;
+      TermChanged again = term_;
+      again.leading = true;
+      on_term(again);
+      return;
+    }
+    if (f.result == FollowReply::Result::ok) {
+      next = std::max(from, f.revision);
+      take_news(f);
+    }
+    rt_.after(kFollowPause, [this, next, epoch] {
+      if (term_.leading && term_.epoch == epoch) follow(next, epoch);
+    });
+  });
+}
+
+void Ledger::take_news(const FollowReply& f) {
+  for (const Row& row : f.puts) {
+    const auto ref = records::parse_job_key(row.key);
+    Job* job = ref ? book_.find(*ref) : nullptr;
+    if (job == nullptr) {
+      if (accept_root(book_, row)) spdlog::debug("job {} is new", *ref);
+    } else if (row.stamp > job->stamp) {
+      // Only users' cancellations change this record while its job lives.
+      job->stamp = row.stamp;
+      if (row.value["wd"].boolean().value_or(false)) withdraw(*job);
+    }
+  }
+  wake();
+}
+
+/// Reads a job's root anew after a conflict or an unknown outcome: it tells of a cancellation, or that our
+/// final write had been executed after all.
+void Ledger::refresh(const std::string& ref) {
+  Job* refreshed = book_.find(ref);
+  if (refreshed == nullptr) return;
+  refreshed->refresh = true;
+  store_.get(records::job_key(ref), Store::Urgent::schedule, [this, ref, epoch = term_.epoch](const Read& r) {
+    if (!open_in(epoch)) return;
+    Job* job = book_.find(ref);
+    if (job == nullptr) return;
+    if (r.result != Read::Result::ok) {
+      rt_.after(kRetryRead, [this, ref, epoch] {
+        if (term_.leading && term_.epoch == epoch) refresh(ref);
+      });
+      return;
+    }
+    if (r.rows.empty()) {
+      writer_.drop(ref);
+      return;
+    }
+    job->stamp = r.rows[0].stamp;
+    job->refresh = false;
+    if (r.rows[0].value["wd"].boolean().value_or(false)) withdraw(*job);
+    wake();
+  });
+}
+
+void Ledger::on_withdrawn(const JobWithdrawn& w) {
+  if (!open()) return;
+  if (Job* job = book_.find(w.ref)) withdraw(*job);
+}
+
+void Ledger::withdraw(Job& job) {
+  if (job.rec.withdrawn) return;
+  book_.withdraw(job);
+  for (auto& [host, orders] : book_.halt(job, Micros{0})) direct(DirectOrders{host, std::move(orders)});
+}
+
+// ---------------------------------------------------------------- workers, machines
+
+void Ledger::on_report(const HostReported& in) {
+  if (!open()) {
+    in.reply({});
+    return;
+  }
+  const WorkerReport& r = *in.report;
+  // The worker has given up waiting for the last answer; orders in it would come too late to be settled by
+  // this report.
+  held_.void_answer(r.host);
+  const reports::Reports::Taken taken = reports_.take(r, in.current, in.settled);
+  if (taken.usable_changed) rounds_.need();
+  send(taken.halts);
+  for (const HostCondemned& c : taken.suspects) suspect(c);
+  const Machine& m = machines_.at(r.host);
+  // Only answers to reports carry orders; what a task left is used at once, so its worker waits for the next
+  // round.
+  if (in.settled && m.current && certain() && (taken.left || reports_.awaits_commit(m, r))) {
+    held_.keep(r.host, {in.report, in.reply, rt_.now() + std::min(kHoldAnswer, settings_.lease / 8),
+                        rounds_.plans()});
+    if (taken.left) wake();
+    return;
+  }
+  in.reply(reports_.orders(m, r));
+}
+
+void Ledger::on_quiet(const HostQuiet& q) {
+  if (Machine* m = machines_.find(q.host)) m->quiet = true;
+  rounds_.need();
+}
+
+void Ledger::on_condemned(const HostCondemned& c) {
+  machines_.at(c.host).condemned = true;
+}
+
+void Ledger::on_gone(const HostGone& g) {
+  if (!open()) return;
+  const Machine* m = machines_.find(g.host);
+  if (m == nullptr) return;
+  const book::Tenants there = book_.on(*m);
+  if (!there.empty()) spdlog::info("machine {} is gone with {} tasks", g.host, there.size());
+  for (const auto& [id, job] : there) book_.release(*job, id.second, "its machine is gone");
+  held_.void_answer(g.host);
+  machines_.erase(g.host);
+  estimator_.forget_host(g.host);
+  rounds_.need();
+}
+
+void Ledger::on_catalog(const CatalogSeen& c) {
+  machines_.take_catalog(c.catalog);
+  rounds_.need();
+}
+
+// ---------------------------------------------------------------- rounds
+
+void Ledger::tick() {
+  round();
+  rt_.after(settings_.tunables.round, [this] { tick(); });
+}
+
+/// News that should not wait for the next tick.
+void Ledger::wake() {
+  if (woken_) return;
+  woken_ = true;
+  const Micros gap = settings_.tunables.round / 2;
+  rt_.after(std::max(Micros{0}, last_round_ + gap - rt_.now()), [this] {
+    woken_ = false;
+    round();
+  });
+}
+
+void Ledger::round() {
+  last_round_ = rt_.now();
+  if (!open()) return;
+  if (certain() && rounds_.due()) {
+    const rounds::Rounds::Result planned = rounds_.plan();
+    send(planned.halts);
+    if (planned.workload) workload(planned.workload);
+  }
+  writer_.flush();
+  answer_held();
+  if (auto p = rounds_.progress()) progress(std::move(p));
+  waits_.tell(rt_.now());
+}
+
+void Ledger::answer_held() {
+  held_.give([this](const std::string& host, const held::Answer& a) -> std::optional<std::vector<Order>> {
+    const Machine& m = machines_.at(host);
+    const bool ready = a.plans < rounds_.plans() && !reports_.awaits_commit(m, *a.report);
+    if (!ready && rt_.now() < a.until) return std::nullopt;
+    return reports_.orders(m, *a.report);
+  });
+}
+
+void Ledger::send(const std::vector<DirectOrders>& orders) {
+  for (const DirectOrders& d : orders) direct(d);
+}
+
+}  // namespace wrenusher::ledger
--- /dev/null
+++ b/src/mail/include/wrenusher/mail/mail.hpp
@@ -0,0 +1,148 @@
+#pragma once
+// Package mail: the typed messages that actors send each other through sinks, and nothing else. It owns no
+// state. It may depend on base, settings and protocol; every actor may use it, so that none needs another's
+// header. A new message is a struct here, a sink at its sender and a line in the controller's wiring.
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "wrenusher/protocol/messages.hpp"
+
+namespace wrenusher::mail {
+
+using namespace base;
+using namespace protocol;
+
+// ---- membership
+
+/// A term began or ended, here or elsewhere.
+struct TermChanged {
+  bool leading = false;
+  std::uint64_t epoch = 0;  ///< the highest this node knows
+  std::uint64_t stamp = 0;  ///< of the `leader` key while leading: a condition of every scheduling write
+  std::string leader;       ///< empty: not known
+};
+
+/// Until when this node is certain to be the only leader.
+struct Certainty {
+  Instant until{};
+};
+
+/// What a peer says of itself.
+struct PeerNews {
+  std::string node;
+  std::uint64_t epoch = 0;
+  std::string leader;
+  bool leading = false;
+  bool store = false;
+  bool hears_workers = false;
+  std::vector<std::string> withdrawn;
+};
+
+/// A worker or a peer showed an epoch above ours, or a write failed on the `leader` key.
+struct Deposed {
+  std::uint64_t epoch = 0;
+};
+
+/// Whether workers that should report to this leader do.
+struct Hearing {
+  bool deaf = false;
+  bool hears_workers = false;
+  bool had_workers = false;  ///< some reported in this term
+};
+
+// ---- users
+
+/// A user was told that this job is cancelled.
+struct JobWithdrawn {
+  std::string ref;
+};
+
+/// Task counts of the live jobs as the leader last told them, for display alone.
+struct Progress {
+  struct Row {
+    std::string ref;
+    std::uint64_t done = 0;
+    std::uint64_t running = 0;
+  };
+  std::vector<Row> rows;
+};
+
+/// The machine types, as the cloud or the state service last gave them.
+struct CatalogSeen {
+  std::shared_ptr<const Catalog> catalog;
+};
+
+// ---- workers and machines
+
+/// A worker's newest word.
+struct HostReported {
+  std::shared_ptr<const WorkerReport> report;
+  /// The worker has accepted this term's epoch: nothing an earlier leader sent can start any more.
+  bool current = false;
+  /// A report, not the answer to /orders: what was sent in the response before it is settled.
+  bool settled = false;
+  /// Takes the orders; to be called once.
+  std::function<void(std::vector<Order>)> reply;
+};
+
+/// A worker has not been heard for long. It proves nothing about its tasks.
+struct HostQuiet {
+  std::string host;
+};
+
+/// Proof: the cloud has taken the machine away with everything on it.
+struct HostGone {
+  std::string host;
+};
+
+/// Orders that should not wait for the worker's next report. Never `run`: sent this way it could be executed
+/// minutes late.
+struct DirectOrders {
+  std::string host;
+  std::vector<Order> orders;
+};
+
+/// A machine that gets no new tasks any more, since it is about to be returned.
+struct HostCondemned {
+  std::string host;
+  std::string why;
+};
+
+/// Machine types of which the cloud has none to give at present.
+struct CapacitySeen {
+  std::set<std::string> exhausted;
+  std::map<std::string, std::uint32_t> coming;  ///< machines rented that are not up yet
+};
+
+/// What the provisioner needs to know, once a round at most.
+struct Workload {
+  struct Demand {
+    JobSpec spec;
+    std::uint32_t tasks = 0;
+    std::uint32_t soon = 0;  ///< of them have a place in view
+    Micros estimate{};
+    Micros spare{};                  ///< how long it may wait for its start
+    std::set<std::string> keep_off;  ///< types booked for jobs that fit nowhere else
+  };
+  struct HostLoad {
+    std::string host;
+    std::string flavor;
+    std::string site;
+    bool standby = false;
+    bool usable = false;
+    std::uint32_t claims = 0;
+    // As cores, see planner::in_cores.
+    Amount booked = 0;   ///< of its claims
+    Amount running = 0;  ///< of those that run
+    Amount lasting = 0;  ///< of those that do not end
+  };
+  std::vector<Demand> demands;  ///< in the order of service
+  std::vector<HostLoad> hosts;
+};
+
+}  // namespace wrenusher::mail
--- a/include/wrenusher/leadership.hpp
+++ b/src/membership/include/wrenusher/membership/leadership.hpp
@@ -1,46 +1,18 @@
 #pragma once
-// Who may give commands: a hold in the state service, an epoch per term, and the window in which this node
-// may be certain that nobody else leads.
+// Package membership: who may give commands, and what the controllers tell each other. Leadership owns the
+// hold in the state service, the epoch of each term, and the window in which this node may be certain that
+// nobody else leads; Peer owns the heartbeats. It may depend on base, settings, protocol, store and mail.
 
-#include "wrenusher/store.hpp"
+#include "wrenusher/mail/mail.hpp"
+#include "wrenusher/store/store.hpp"
 
-namespace wrenusher {
+namespace wrenusher::membership {
 
-/// A term began or ended, here or elsewhere.
-struct TermChanged {
-  bool leading = false;
-  std::uint64_t epoch = 0;  ///< the highest this node knows
-  std::uint64_t stamp = 0;  ///< of the `leader` key while leading: a condition of every scheduling write
-  std::string leader;       ///< empty: not known
-};
-
-/// Until when this node is certain to be the only leader.
-struct Certainty {
-  Instant until{};
-};
-
-/// What a peer says of itself.
-struct PeerNews {
-  std::string node;
-  std::uint64_t epoch = 0;
-  std::string leader;
-  bool leading = false;
-  bool store = false;
-  bool hears_workers = false;
-  std::vector<std::string> withdrawn;
-};
-
-/// A worker or a peer showed an epoch above ours, or a write failed on the `leader` key.
-struct Deposed {
-  std::uint64_t epoch = 0;
-};
-
-/// Whether workers that should report to this leader do.
-struct Hearing {
-  bool deaf = false;
-  bool hears_workers = false;
-  bool had_workers = false;  ///< some reported in this term
-};
+using namespace base;
+using namespace settings;
+using namespace protocol;
+using namespace store;
+using namespace mail;
 
 class Leadership {
  public:
@@ -91,4 +63,4 @@
   bool had_workers_ = false;
 };
 
-}  // namespace wrenusher
+}  // namespace wrenusher::membership
--- a/include/wrenusher/peer.hpp
+++ b/src/membership/include/wrenusher/membership/peer.hpp
@@ -4,24 +4,15 @@
 #include <deque>
 #include <memory>
 
-#include "wrenusher/leadership.hpp"
+#include "wrenusher/membership/leadership.hpp"
 
-namespace wrenusher {
+namespace wrenusher::membership {
 
-/// A user was told that this job is cancelled.
-struct JobWithdrawn {
-  std::string ref;
-};
-
-/// Task counts of the live jobs as the leader last told them, for display alone.
-struct Progress {
-  struct Row {
-    std::string ref;
-    std::uint64_t done = 0;
-    std::uint64_t running = 0;
-  };
-  std::vector<Row> rows;
-};
+using namespace base;
+using namespace settings;
+using namespace protocol;
+using namespace store;
+using namespace mail;
 
 class Peer {
  public:
@@ -55,4 +46,4 @@
   std::shared_ptr<const Progress> untold_;  ///< goes out with the next beat
 };
 
-}  // namespace wrenusher
+}  // namespace wrenusher::membership
--- a/src/leadership.cpp
+++ b/src/membership/leadership.cpp
@@ -1,8 +1,8 @@
-#include "wrenusher/leadership.hpp"
+#include "wrenusher/membership/leadership.hpp"
 
 #include <spdlog/spdlog.h>
 
-namespace wrenusher {
+namespace wrenusher::membership {
 
 namespace {
 
@@ -195,4 +195,4 @@
   changed(TermChanged{false, epoch_, 0, {}});
 }
 
-}  // namespace wrenusher
+}  // namespace wrenusher::membership
--- a/src/peer.cpp
+++ b/src/membership/peer.cpp
@@ -1,6 +1,6 @@
-#include "wrenusher/peer.hpp"
+#include "wrenusher/membership/peer.hpp"
 
-namespace wrenusher {
+namespace wrenusher::membership {
 
 namespace {
 constexpr Micros kBeat = millis(500);
@@ -96,4 +96,4 @@
   answer({200, encode(describe()), 0});
 }
 
-}  // namespace wrenusher
+}  // namespace wrenusher::membership
--- a/include/wrenusher/net.hpp
+++ b/src/net/include/wrenusher/net/net.hpp
@@ -1,5 +1,6 @@
 #pragma once
-// HTTP/1.1 on a libuv loop: the listening side, pooled outgoing connections, and the socket budget.
+// Package net: HTTP/1.1 on a libuv loop, the daemon's runtime. It owns the listening side, the pooled
+// outgoing connections, timers and the socket budget. It may depend on base.
 
 #include <uv.h>
 
@@ -8,9 +9,11 @@
 #include <map>
 #include <memory>
 
-#include "wrenusher/runtime.hpp"
+#include "wrenusher/base/runtime.hpp"
 
-namespace wrenusher {
+namespace wrenusher::net {
+
+using namespace base;
 
 /// Largest body of a request and of an answer to workers and users.
 inline constexpr std::size_t kMaxBody = 64 * 1024;
@@ -55,4 +58,4 @@
   std::map<Endpoint, std::unique_ptr<Pool>> pools_;
 };
 
-}  // namespace wrenusher
+}  // namespace wrenusher::net
--- a/src/net.cpp
+++ b/src/net/net.cpp
@@ -1,4 +1,4 @@
-#include "wrenusher/net.hpp"
+#include "wrenusher/net/net.hpp"
 
 #include <http_parser.h>
 #include <spdlog/spdlog.h>
@@ -7,7 +7,7 @@
 #include <array>
 #include <cstring>
 
-namespace wrenusher {
+namespace wrenusher::net {
 
 namespace {
 
@@ -569,4 +569,4 @@
   after(from_seconds(5), [this] { sweep(); });
 }
 
-}  // namespace wrenusher
+}  // namespace wrenusher::net
--- a/include/wrenusher/planner.hpp
+++ b/src/planner/include/wrenusher/planner/planner.hpp
@@ -1,5 +1,6 @@
 #pragma once
-// Pure functions: a snapshot in, decisions out. Rank, order and place are the paper's (section IV.B).
+// Package planner: pure functions, a snapshot in, decisions out. Rank, order and place are the paper's
+// (section IV.B). It owns no state. It may depend on base, settings and protocol.
 
 #include <map>
 #include <optional>
@@ -7,11 +8,15 @@
 #include <string>
 #include <vector>
 
-#include "wrenusher/messages.hpp"
-#include "wrenusher/settings.hpp"
+#include "wrenusher/protocol/messages.hpp"
+#include "wrenusher/settings/settings.hpp"
 
 namespace wrenusher::planner {
 
+using namespace base;
+using namespace settings;
+using namespace protocol;
+
 struct PlanJob {
   const JobSpec* spec = nullptr;
   std::uint32_t waiting = 0;
--- a/src/planner.cpp
+++ b/src/planner/planner.cpp
@@ -1,4 +1,4 @@
-#include "wrenusher/planner.hpp"
+#include "wrenusher/planner/planner.hpp"
 
 #include <algorithm>
 #include <limits>
@@ -380,99 +380,131 @@
   }
 }
 
+// The steps of `place`.
+
+/// A machine on which at least one task of the job could start now.
+struct Candidate {
+  std::size_t host;
+  Micros finish;
+  Amount size;
+  int cost;
+  double misfit;
+  std::uint32_t fits;
+  Micros fetch;  ///< with the delay that it causes to others
+};
+
+bool better(const Candidate& a, const Candidate& b) {
+  const auto ra = a.finish / kAlike;
+  const auto rb = b.finish / kAlike;
+  if (ra != rb) return ra < rb;
+  // A machine much larger than the task is better kept for what fits nowhere else.
+  if (a.size != b.size) return a.size < b.size;
+  // What stays for its services costs nothing more, and spot machines a fraction: what those can take leaves
+  // other ordinary ones empty, to be returned.
+  if (a.cost != b.cost) return a.cost < b.cost;
+  if (a.misfit != b.misfit) return a.misfit < b.misfit;
+  return a.host < b.host;
+}
+
+bool kept_off(const Snapshot& s, const PlanJob& job, const PlanHost& host) {
+  if (job.avoid == nullptr) return false;
+  const auto it = job.avoid->find(host.name);
+  return it != job.avoid->end() && s.clock < it->second;
+}
+
+/// The machines for up to `want` tasks of the job, the best first.
+std::vector<Candidate> candidates(const Snapshot& s, const PlanJob& job, std::uint32_t want) {
+  const JobSpec& spec = *job.spec;
+  std::vector<Candidate> out;
+  for (std::size_t h = 0; h < s.hosts.size(); ++h) {
+    const PlanHost& host = s.hosts[h];
+    if (!open_to(host, job) || kept_off(s, job, host)) continue;
+    const std::uint32_t fits = count_fitting(spec.needs, host.room, want);
+    if (fits == 0) continue;
+    const std::optional<Micros> delay = burden(host, spec);
+    if (!delay) continue;
+    const Micros fetch = fetch_time(host, spec);
+    if (job.near_image && fetch * 2 > from_seconds(spec.image_gb / host.flavor->pull_gb_per_s)) continue;
+    out.push_back({h, finish_time(host, job) + *delay, host.flavor->room.cores,
+                   host.stays     ? 0
+                   : host.standby ? 1
+                                  : 2,
+                   misfit(host, spec.needs), fits, fetch + *delay});
+  }
+  std::sort(out.begin(), out.end(), better);
+  return out;
+}
+
+/// The zones to try one after the other; "" is any. A job that must stay together tries each by itself, a
+/// gang all of them and another the best alone; for the rest the zone is open.
+std::vector<std::string> zones_to_try(const Snapshot& s, const PlanJob& job,
+                                      const std::vector<Candidate>& found) {
+  if (!job.spec->same_place || !job.zones.empty()) return {""};
+  std::vector<std::string> out;
+  for (const Candidate& c : found) {
+    const std::string& z = s.hosts[c.host].site;
+    if (std::find(out.begin(), out.end(), z) == out.end()) out.push_back(z);
+  }
+  if (job.spec->shape != Shape::gang && out.size() > 1) out.resize(1);
+  return out;
+}
+
+struct Choice {
+  std::vector<Placement> places;
+  std::uint32_t tasks = 0;
+};
+
+/// Spreads up to `want` tasks over the machines, as far as the zone rules and places in view allow.
+Choice choose(const Snapshot& s, std::size_t j, const std::vector<Candidate>& found, const Waiting& waiting,
+              std::uint32_t want, const std::string& only) {
+  const PlanJob& job = s.jobs[j];
+  std::map<std::string, std::uint32_t> zones = job.zones;
+  Choice out;
+  for (const Candidate& c : found) {
+    if (out.tasks == want) break;
+    const std::string& site = s.hosts[c.host].site;
+    if (!only.empty() && site != only) continue;
+    std::uint32_t n = std::min({c.fits, want - out.tasks, zone_allowance(*job.spec, zones, site)});
+    // Not those that will sooner have a place with the image.
+    if (c.fetch.count() > 0) n = std::min(n, want - out.tasks - waiting.within(c.fetch, want - out.tasks));
+    if (n == 0) continue;
+    out.places.push_back({j, c.host, n});
+    zones[site] += n;
+    out.tasks += n;
+  }
+  return out;
+}
+
+/// What was chosen takes its room, and its image is on its way.
+void book(Snapshot& s, const Choice& choice, const JobSpec& spec) {
+  for (const Placement& p : choice.places) {
+    PlanHost& host = s.hosts[p.host];
+    host.room -= spec.needs * p.tasks;
+    if (!cached(host, spec.bundle) && pull_of(host, spec.bundle) == nullptr)
+      host.pulls.push_back({spec.bundle, spec.image_gb, spec.urgency});
+  }
+}
+
 }  // namespace
 
 Plan place(Snapshot s) {
   Plan plan;
   for (const std::size_t j : order(s)) {
-    PlanJob& job = s.jobs[j];
+    const PlanJob& job = s.jobs[j];
     const JobSpec& spec = *job.spec;
-    const Needs left = ceiling_left(s, spec.owner);
-    std::uint32_t want = count_fitting(spec.needs, left, job.waiting);
     const bool gang = spec.shape == Shape::gang;
+    const std::uint32_t want = count_fitting(spec.needs, ceiling_left(s, spec.owner), job.waiting);
     if (want == 0 || (gang && want < job.waiting)) continue;
-
-    struct Candidate {
-      std::size_t host;
-      Micros finish;
-      Amount size;
-      int cost;
-      double misfit;
-      std::uint32_t fits;
-      Micros fetch;
-    };
     const bool pressed = slack(job, s.now, s.settings->objectives).standing == Standing::pressed;
     Waiting waiting(s.later, job);
-    std::vector<Candidate> candidates;
-    for (std::size_t h = 0; h < s.hosts.size(); ++h) {
-      const PlanHost& host = s.hosts[h];
-      if (!open_to(host, job)) continue;
-      if (job.avoid != nullptr) {
-        const auto it = job.avoid->find(host.name);
-        if (it != job.avoid->end() && s.clock < it->second) continue;
-      }
-      const std::uint32_t fits = count_fitting(spec.needs, host.room, want);
-      if (fits == 0) continue;
-      const std::optional<Micros> delay = burden(host, spec);
-      if (!delay) continue;
-      if (job.near_image &&
-          fetch_time(host, spec) * 2 > from_seconds(spec.image_gb / host.flavor->pull_gb_per_s))
-        continue;
-      candidates.push_back({h, finish_time(host, job) + *delay, host.flavor->room.cores,
-                            host.stays     ? 0
-                            : host.standby ? 1
-                                           : 2,
-                            misfit(host, spec.needs), fits, fetch_time(host, spec) + *delay});
-    }
-    std::sort(candidates.begin(), candidates.end(), [](const Candidate& a, const Candidate& b) {
-      const auto ra = a.finish / kAlike;
-      const auto rb = b.finish / kAlike;
-      if (ra != rb) return ra < rb;
-      // A machine much larger than the task is better kept for what fits nowhere else.
-      if (a.size != b.size) return a.size < b.size;
-      // What stays for its services costs nothing more, and spot machines a fraction: what those can take
-      // leaves other ordinary ones empty, to be returned.
-      if (a.cost != b.cost) return a.cost < b.cost;
-      if (a.misfit != b.misfit) return a.misfit < b.misfit;
-      return a.host < b.host;
-    });
-
-    // A job that must stay together tries one zone after the other; for the rest the zone is open.
-    std::vector<std::string> tries{""};
-    if (spec.same_place && job.zones.empty()) {
-      tries.clear();
-      for (const Candidate& c : candidates) {
-        const std::string& z = s.hosts[c.host].site;
-        if (std::find(tries.begin(), tries.end(), z) == tries.end()) tries.push_back(z);
-      }
-      if (!gang && tries.size() > 1) tries.resize(1);
-    }
+    const std::vector<Candidate> found = candidates(s, job, want);
     std::uint32_t placed = 0;
-    for (const std::string& only : tries) {
-      std::map<std::string, std::uint32_t> zones = job.zones;
-      std::vector<Placement> chosen;
-      std::uint32_t got = 0;
-      for (const Candidate& c : candidates) {
-        if (got == want) break;
-        const std::string& site = s.hosts[c.host].site;
-        if (!only.empty() && site != only) continue;
-        std::uint32_t n = std::min({c.fits, want - got, zone_allowance(spec, zones, site)});
-        // Not those that will sooner have a place with the image.
-        if (c.fetch.count() > 0) n = std::min(n, want - got - waiting.within(c.fetch, want - got));
-        if (n == 0) continue;
-        chosen.push_back({j, c.host, n});
-        zones[site] += n;
-        got += n;
-      }
-      if (gang && got < want) continue;
-      for (const Placement& p : chosen) {
-        PlanHost& host = s.hosts[p.host];
-        host.room -= spec.needs * p.tasks;
-        if (!cached(host, spec.bundle) && pull_of(host, spec.bundle) == nullptr)
-          host.pulls.push_back({spec.bundle, spec.image_gb, spec.urgency});
-        plan.placements.push_back(p);
-      }
-      placed = got;
+    for (const std::string& zone : zones_to_try(s, job, found)) {
+      const Choice choice = choose(s, j, found, waiting, want, zone);
+      if (gang && choice.tasks < want) continue;
+      book(s, choice, spec);
+      plan.placements.insert(plan.placements.end(), choice.places.begin(), choice.places.end());
+      placed = choice.tasks;
       break;
     }
     if (gang && placed == 0 && pressed) reserve(s, job);
--- a/include/wrenusher/messages.hpp
+++ b/src/protocol/include/wrenusher/protocol/messages.hpp
@@ -1,5 +1,6 @@
 #pragma once
-// Typed messages of the protocol and their codecs.
+// Package protocol: the typed messages of the protocol and their codecs, for users, workers and the cloud. It
+// owns no state. It may depend on base and settings.
 
 #include <cmath>
 #include <cstdint>
@@ -8,10 +9,14 @@
 #include <string>
 #include <vector>
 
-#include "wrenusher/time.hpp"
-#include "wrenusher/value.hpp"
+#include "wrenusher/base/time.hpp"
+#include "wrenusher/base/value.hpp"
+#include "wrenusher/settings/settings.hpp"
 
-namespace wrenusher {
+namespace wrenusher::protocol {
+
+using namespace base;
+using namespace settings;
 
 enum class Shape { sweep, gang, daemon };
 /// In falling order of importance.
@@ -135,6 +140,6 @@
 std::optional<Rental> read_rental(const Value& v);
 
 /// Why a job can never run with these machine types and teams; empty when it can.
-std::string never_runs(const JobSpec& spec, const Catalog& catalog, const struct Team* team);
+std::string never_runs(const JobSpec& spec, const Catalog& catalog, const Team* team);
 
-}  // namespace wrenusher
+}  // namespace wrenusher::protocol
--- a/src/messages.cpp
+++ b/src/protocol/messages.cpp
@@ -1,11 +1,11 @@
-#include "wrenusher/messages.hpp"
+#include "wrenusher/protocol/messages.hpp"
 
 #include <algorithm>
 #include <charconv>
 
-#include "wrenusher/settings.hpp"
+#include "wrenusher/settings/settings.hpp"
 
-namespace wrenusher {
+namespace wrenusher::protocol {
 
 namespace {
 
@@ -290,4 +290,4 @@
   return "a task fits no machine type that the job allows";
 }
 
-}  // namespace wrenusher
+}  // namespace wrenusher::protocol
--- a/include/wrenusher/provisioner.hpp
+++ b/src/provisioner/include/wrenusher/provisioner/provisioner.hpp
@@ -1,13 +1,24 @@
 #pragma once
-// Rents machines for the backlog and returns what is idle, silent, slow to boot or faulty.
+// Package provisioner: rents machines for the backlog and returns what is idle, silent, slow to boot or
+// faulty. It owns what the leader knows of the cloud: the types, the machines rented, the bookings under way,
+// what was refused. It may depend on base, settings, protocol, store, mail, planner and accounts.
 
 #include <deque>
 #include <functional>
 #include <set>
 
-#include "wrenusher/ledger.hpp"
+#include "wrenusher/accounts/accounts.hpp"
+#include "wrenusher/mail/mail.hpp"
+#include "wrenusher/settings/settings.hpp"
+#include "wrenusher/store/store.hpp"
 
-namespace wrenusher {
+namespace wrenusher::provisioner {
+
+using namespace base;
+using namespace settings;
+using namespace protocol;
+using namespace store;
+using namespace mail;
 
 class Provisioner {
  public:
@@ -109,19 +120,8 @@
   std::map<std::string, Instant> lost_until_;            ///< zones of which no machine is heard
   std::set<std::string> to_return_;
   std::set<std::string> gone_;  ///< given back in this term
-  /// What was spent on one kind of machine since the last account, by what it was spent on.
-  struct Spent {
-    double boot = 0;
-    double idle = 0;   ///< up, with nothing to do
-    double spare = 0;  ///< cores that no task has booked beside some that are
-    double wait = 0;   ///< cores booked by tasks that do not run yet: orders on their way, images
-    double run = 0;
-    double total() const { return boot + idle + spare + wait + run; }
-  };
-  std::map<std::pair<std::string, bool>, Spent> spent_;
-  Instant accounted_{};
-  Instant next_account_{};
+  accounts::Money money_;
   std::shared_ptr<const Workload> load_;
 };
 
-}  // namespace wrenusher
+}  // namespace wrenusher::provisioner
--- a/src/provisioner.cpp
+++ b/src/provisioner/provisioner.cpp
@@ -1,11 +1,13 @@
-#include "wrenusher/provisioner.hpp"
+#include "wrenusher/provisioner/provisioner.hpp"
 
 #include <spdlog/spdlog.h>
 
 #include <algorithm>
 #include <limits>
 
-namespace wrenusher {
+#include "wrenusher/planner/planner.hpp"
+
+namespace wrenusher::provisioner {
 
 namespace {
 
@@ -34,7 +36,6 @@
 constexpr std::size_t kFewSilent = 6;
 constexpr Micros kSilenceMemory = from_seconds(20);
 constexpr Micros kLostZone = from_seconds(40);
-constexpr Micros kAccountEvery = from_seconds(60);
 
 bool no_capacity(const Outcome& o) {
   return o.answered && o.response.status == 503 && o.response.body.find("no capacity") != std::string::npos;
@@ -63,9 +64,7 @@
   gone_.clear();
   load_.reset();
   term_began_ = rt_.now();
-  spent_.clear();
-  accounted_ = rt_.now();
-  next_account_ = accounted_ + kAccountEvery;
+  money_.begin(rt_.now());
   listing_ = returning_ = false;
   bookings_made_ = 0;
   next_list_ = next_catalog_ = rt_.now();
@@ -419,39 +418,13 @@
 
 /// Keeps the books: operators see where the money goes.
 void Provisioner::account() {
-  const Instant now = rt_.now();
-  const double hours = to_seconds(now - accounted_) / 3600;
-  accounted_ = now;
+  const double hours = money_.elapse(rt_.now());
   if (!catalog_) return;
   for (const auto& [host, m] : machines_) {
-    const auto it = catalog_->find(m.flavor);
-    if (it == catalog_->end() || it->second.room.cores <= 0) continue;
-    const Flavor& f = it->second;
-    const double cost = hours * (m.standby ? f.low_price : f.rate);
-    Spent& s = spent_[{m.flavor, m.standby}];
-    if (!m.up) {
-      s.boot += cost;
-    } else if (m.booked == 0) {
-      s.idle += cost;
-    } else {
-      const double core = cost / static_cast<double>(f.room.cores);
-      s.run += core * static_cast<double>(m.working);
-      s.wait += core * static_cast<double>(m.booked - m.working);
-      s.spare += core * static_cast<double>(f.room.cores - m.booked);
-    }
-  }
-  if (now < next_account_) return;
-  next_account_ = now + kAccountEvery;
-  for (const auto& [kind, s] : spent_) {
-    if (s.total() <= 0) continue;
-    const double percent = 100 / s.total();
-    spdlog::info(
-        "spent {:.2f} on {} {}: run {:.0f}%, fetch and wait {:.0f}%, spare {:.0f}%, idle {:.0f}%, boot "
-        "{:.0f}%",
-        s.total(), kind.second ? "spot" : "ordinary", kind.first, s.run * percent, s.wait * percent,
-        s.spare * percent, s.idle * percent, s.boot * percent);
+    if (const auto f = catalog_->find(m.flavor); f != catalog_->end())
+      money_.spend(hours, f->second, m.standby, {m.up, m.booked, m.working});
   }
-  spent_.clear();
+  money_.tell(rt_.now());
 }
 
 void Provisioner::review() {
@@ -611,4 +584,4 @@
   for (const auto& [kind, n] : wanted) book(kind, n);
 }
 
-}  // namespace wrenusher
+}  // namespace wrenusher::provisioner
--- a/include/wrenusher/records.hpp
+++ b/src/records/include/wrenusher/records/records.hpp
@@ -1,5 +1,6 @@
 #pragma once
-// The records kept in the state service.
+// Package records: the records kept in the state service, their keys and codecs. It owns no state. It may
+// depend on base and protocol.
 //   leader            {node, epoch}, attached to the leader's hold
 //   epoch             {epoch}, the counter of terms
 //   job/<ref>         {spec, t: accepted at (ms), b: tasks per block, wd: withdrawn}; put by any node
@@ -14,11 +15,14 @@
 #include <functional>
 #include <string>
 
-#include "wrenusher/messages.hpp"
-#include "wrenusher/range_set.hpp"
+#include "wrenusher/base/range_set.hpp"
+#include "wrenusher/protocol/messages.hpp"
 
 namespace wrenusher::records {
 
+using namespace base;
+using namespace protocol;
+
 inline std::string job_key(const std::string& ref) {
   return "job/" + ref;
 }
--- a/src/records.cpp
+++ b/src/records/records.cpp
@@ -1,4 +1,4 @@
-#include "wrenusher/records.hpp"
+#include "wrenusher/records/records.hpp"
 
 #include <algorithm>
 #include <charconv>
--- a/include/wrenusher/settings.hpp
+++ b/src/settings/include/wrenusher/settings/settings.hpp
@@ -1,13 +1,16 @@
 #pragma once
-// The settings file that the platform hands over (JSON) and the operators' own tunables (YAML).
+// Package settings: the settings file that the platform hands over (JSON) and the operators' own tunables
+// (YAML), read once and checked whole. It may depend on base.
 
 #include <stdexcept>
 #include <string>
 #include <vector>
 
-#include "wrenusher/runtime.hpp"
+#include "wrenusher/base/runtime.hpp"
 
-namespace wrenusher {
+namespace wrenusher::settings {
+
+using namespace base;
 
 struct Team {
   std::string name;
@@ -78,4 +81,4 @@
 Tunables parse_tunables(const std::string& yaml);
 Tunables load_tunables(const std::string& path);
 
-}  // namespace wrenusher
+}  // namespace wrenusher::settings
--- a/src/settings.cpp
+++ b/src/settings/settings.cpp
@@ -1,4 +1,4 @@
-#include "wrenusher/settings.hpp"
+#include "wrenusher/settings/settings.hpp"
 
 #include <yaml-cpp/yaml.h>
 
@@ -9,7 +9,7 @@
 #include <set>
 #include <sstream>
 
-namespace wrenusher {
+namespace wrenusher::settings {
 
 namespace {
 
@@ -206,4 +206,4 @@
   return parse_tunables(read_file(path));
 }
 
-}  // namespace wrenusher
+}  // namespace wrenusher::settings
--- a/include/wrenusher/store.hpp
+++ b/src/store/include/wrenusher/store/store.hpp
@@ -1,14 +1,19 @@
 #pragma once
-// Client of the state service: paces requests and changes to this node's share, and tells apart "not
-// executed" from "may have been executed".
+// Package store: the client of the state service. It owns this node's share of the pace and what waits for
+// it: it paces requests and changes, and tells apart "not executed" from "may have been executed". It may
+// depend on base, settings and protocol.
 
 #include <deque>
 
-#include "wrenusher/messages.hpp"
-#include "wrenusher/runtime.hpp"
-#include "wrenusher/settings.hpp"
+#include "wrenusher/base/runtime.hpp"
+#include "wrenusher/protocol/messages.hpp"
+#include "wrenusher/settings/settings.hpp"
 
-namespace wrenusher {
+namespace wrenusher::store {
+
+using namespace base;
+using namespace settings;
+using namespace protocol;
 
 struct Row {
   std::string key;
@@ -137,4 +142,4 @@
   Instant backoff_until_{};
 };
 
-}  // namespace wrenusher
+}  // namespace wrenusher::store
--- a/src/store.cpp
+++ b/src/store/store.cpp
@@ -1,10 +1,10 @@
-#include "wrenusher/store.hpp"
+#include "wrenusher/store/store.hpp"
 
 #include <spdlog/spdlog.h>
 
 #include <algorithm>
 
-namespace wrenusher {
+namespace wrenusher::store {
 
 namespace {
 
@@ -305,4 +305,4 @@
          {});
 }
 
-}  // namespace wrenusher
+}  // namespace wrenusher::store
--- a/tests/formats_test.cpp
+++ b/tests/formats_test.cpp
@@ -7,11 +7,14 @@
 #include <limits>
 #include <set>
 
-#include "wrenusher/messages.hpp"
-#include "wrenusher/records.hpp"
-#include "wrenusher/settings.hpp"
-
-using namespace wrenusher;
+#include "wrenusher/protocol/messages.hpp"
+#include "wrenusher/records/records.hpp"
+#include "wrenusher/settings/settings.hpp"
+
+using namespace wrenusher::base;
+using namespace wrenusher::settings;
+using namespace wrenusher::protocol;
+namespace records = wrenusher::records;
 
 namespace {
 
--- a/tests/planner_test.cpp
+++ b/tests/planner_test.cpp
@@ -1,13 +1,15 @@
 // Rank, order and place as pure functions.
 
-#include "wrenusher/planner.hpp"
+#include "wrenusher/planner/planner.hpp"
 
 #include <gtest/gtest.h>
 #include <rapidcheck.h>
 
 #include <memory>
 
-using namespace wrenusher;
+using namespace wrenusher::base;
+using namespace wrenusher::settings;
+using namespace wrenusher::protocol;
 using namespace wrenusher::planner;
 
 namespace {
--- a/tests/standins/checker.hpp
+++ b/tests/standins/checker.hpp
@@ -6,12 +6,14 @@
 #include <string>
 #include <vector>
 
-#include "wrenusher/messages.hpp"
-#include "wrenusher/settings.hpp"
+#include "wrenusher/protocol/messages.hpp"
+#include "wrenusher/settings/settings.hpp"
 
 namespace standins {
 
-using namespace wrenusher;
+using namespace wrenusher::base;
+using namespace wrenusher::settings;
+using namespace wrenusher::protocol;
 
 class Checker {
  public:
--- a/tests/standins/world.hpp
+++ b/tests/standins/world.hpp
@@ -10,10 +10,12 @@
 #include <tuple>
 
 #include "standins/checker.hpp"
-#include "wrenusher/controller.hpp"
+#include "wrenusher/controller/controller.hpp"
 
 namespace standins {
 
+using wrenusher::controller::Controller;
+
 /// What a broken link does with what is sent over it.
 enum class Cut { none, hold, reset };
 
