The lab's models: one state service, cloud, workers and users for every use

Change: lab/models holds one model of each, standing on Wires (a clock, chance, messages), so that a real-time driver needs no second copy; lab/sim drives it in simulated time with whole controllers. Sites are read from YAML, strictly: file, line, field.

This change touches no code of the daemon.

--- a/tests/standins/checker.cpp
+++ b/lab/models/checker.cpp
@@ -1,6 +1,6 @@
-#include "standins/checker.hpp"
+#include "wrenusher/lab/checker.hpp"
 
-namespace standins {
+namespace wrenusher::lab {
 
 void Checker::breaks(const std::string& rule, const std::string& note) {
   broken_.insert(rule);
@@ -91,4 +91,4 @@
   }
 }
 
-}  // namespace standins
+}  // namespace wrenusher::lab
--- /dev/null
+++ b/lab/models/cloud.cpp
@@ -0,0 +1,168 @@
+#include "wrenusher/lab/cloud.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <cstdlib>
+
+#include "wrenusher/lab/answers.hpp"
+
+namespace wrenusher::lab {
+
+namespace {
+
+constexpr Micros kListEvery = from_seconds(1);
+constexpr std::uint64_t kMostPerBooking = 50;
+constexpr std::size_t kMostPerReturn = 100;
+constexpr std::size_t kMostListed = 500;
+/// One machine in so many never comes up.
+constexpr int kNeverUp = 20;
+
+/// "m-17" by its number, for the order of creation.
+long number_of(const std::string& host) {
+  return host.starts_with("m-") ? std::strtol(host.c_str() + 2, nullptr, 10) : 0;
+}
+
+}  // namespace
+
+Cloud::Cloud(Wires& wires, const Site& site, Machines& machines, int scale)
+    : wires_(wires), site_(site), machines_(machines), scale_(scale), tokens_(2 * site.settings.cloud_rps) {
+  refilled_ = wires_.now();
+  note_list();
+}
+
+void Cloud::furnish() {
+  if (site_.types.empty()) return;
+  const Flavor& f = site_.types.front().flavor;
+  for (int i = 0; i < site_.machines; ++i)
+    machines_.rent(f.name, f.sites[static_cast<std::size_t>(i) % f.sites.size()], false, Micros{0});
+}
+
+/// What the list would say now; requests see it later.
+void Cloud::note_list() {
+  lists_.emplace_back(wires_.now(), machines_.list());
+  while (lists_.size() > 2 && wires_.now() - lists_[1].first > site_.settings.list_lag * 2)
+    lists_.pop_front();
+  wires_.at(kListEvery, [this] { note_list(); });
+}
+
+/// Bursts worth two seconds are allowed.
+bool Cloud::paced() {
+  const double rate = site_.settings.cloud_rps;
+  tokens_ = std::min(2 * rate, tokens_ + to_seconds(wires_.now() - refilled_) * rate);
+  refilled_ = wires_.now();
+  if (tokens_ < 1) return false;
+  tokens_ -= 1;
+  return true;
+}
+
+void Cloud::serve(const std::string&, const Request& r, const Answer& answer) {
+  ++requests_;
+  if (down_) {
+    answer(reply(503, Value::Map{{"error", "trouble"}}));
+    return;
+  }
+  if (!paced()) {
+    answer({429, {}, 0});
+    return;
+  }
+  const auto body = decode(r.body);
+  if (r.method == "GET" && r.target == "/catalog") {
+    answer(catalog());
+  } else if (r.method == "POST" && r.target == "/rentals" && body) {
+    answer(rent(*body));
+  } else if (r.method == "POST" && r.target == "/rentals/return" && body) {
+    answer(give_back(*body));
+  } else if (r.method == "GET" && r.target.starts_with("/rentals")) {
+    answer(list(r.target));
+  } else {
+    answer(malformed("no such request, or a body that is not CBOR"));
+  }
+}
+
+Response Cloud::catalog() const {
+  Value::List types;
+  double phase = 0;
+  for (const MachineType& t : site_.types) {
+    const Flavor& f = t.flavor;
+    Value::List sites;
+    for (const std::string& z : f.sites) sites.emplace_back(z);
+    // Spot prices swing by up to a third around the nominal one.
+    const double swing = 1 + std::sin(to_seconds(wires_.now().time_since_epoch()) / 90 + phase++) / 3;
+    types.emplace_back(Value::Map{{"name", f.name},
+                                  {"cores", from_amount(f.room.cores)},
+                                  {"cards", from_amount(f.room.cards)},
+                                  {"memory_gb", from_amount(f.room.memory)},
+                                  {"cache_gb", f.cache_gb},
+                                  {"pull_gb_per_s", f.pull_gb_per_s},
+                                  {"rate", f.rate},
+                                  {"low_price", f.low_price * swing},
+                                  {"boot_s", to_seconds(f.boot)},
+                                  {"sites", std::move(sites)}});
+  }
+  return reply(200, Value::Map{{"flavors", std::move(types)}});
+}
+
+Response Cloud::rent(const Value& body) {
+  const std::string* booking = body["booking"].text();
+  const std::string* flavor = body["flavor"].text();
+  const std::string* zone = body["site"].text();
+  const auto standby = body["standby"].boolean();
+  const auto count = body["count"].count();
+  const MachineType* type = flavor != nullptr ? site_.type(*flavor) : nullptr;
+  if (booking == nullptr || type == nullptr || zone == nullptr || !standby || !count || *count == 0 ||
+      *count > kMostPerBooking)
+    return malformed("booking, flavor, site, standby or count (1 to 50) is missing or wrong");
+  auto& names = bookings_[*booking];
+  if (names.empty()) {
+    const bool sold =
+        std::find(type->flavor.sites.begin(), type->flavor.sites.end(), *zone) != type->flavor.sites.end();
+    const int most = sold ? scale_ * (*standby ? type->spot : type->ordinary) : 0;
+    while (names.size() < *count && machines_.there(*flavor, *zone, *standby) < most) {
+      const Micros boot = wires_.pick(kNeverUp) == 0
+                              ? from_seconds(1e6)
+                              : from_seconds(to_seconds(type->flavor.boot) * wires_.uniform(0.6, 1.5));
+      const std::string host = machines_.rent(*flavor, *zone, *standby, boot);
+      if (host.empty()) break;
+      names.push_back(host);
+      ++rented_;
+    }
+  }
+  if (names.empty()) {
+    bookings_.erase(*booking);  // after a 503 the same request may be sent again
+    return reply(503, Value::Map{{"error", "no capacity"}});
+  }
+  Value::List hosts;
+  for (const std::string& n : names) hosts.emplace_back(n);
+  return reply(200, Value::Map{{"hosts", std::move(hosts)}});
+}
+
+Response Cloud::give_back(const Value& body) {
+  const Value::List* hosts = body["hosts"].list();
+  if (hosts == nullptr || hosts->size() > kMostPerReturn)
+    return malformed("hosts: must be a list of 100 at most");
+  for (const Value& h : *hosts) {
+    if (h.text() != nullptr) machines_.give_back(*h.text());
+  }
+  return reply(200, Value::Map{});
+}
+
+Response Cloud::list(const std::string& target) {
+  const Micros lag = from_seconds(to_seconds(site_.settings.list_lag) * wires_.uniform(1, 2));
+  const Value::List* seen = nullptr;
+  for (const auto& [when, list] : lists_) {
+    if (wires_.now() - when >= lag) seen = &list;
+  }
+  const long after = number_of(query(target, "from"));
+  const std::size_t asked = std::strtoull(query(target, "limit").c_str(), nullptr, 10);
+  const std::size_t limit = asked == 0 ? kMostListed : std::min(asked, kMostListed);
+  Value::List rows;
+  bool more = false;
+  for (std::size_t i = 0; seen != nullptr && i < seen->size() && !more; ++i) {
+    if (number_of(*(*seen)[i]["ref"].text()) <= after) continue;
+    more = rows.size() == limit;
+    if (!more) rows.push_back((*seen)[i]);
+  }
+  return reply(200, Value::Map{{"hosts", std::move(rows)}, {"truncated", more}});
+}
+
+}  // namespace wrenusher::lab
--- /dev/null
+++ b/lab/models/include/wrenusher/lab/answers.hpp
@@ -0,0 +1,29 @@
+#pragma once
+// Small things that every model's server needs.
+
+#include <string>
+
+#include "wrenusher/base/runtime.hpp"
+#include "wrenusher/base/value.hpp"
+
+namespace wrenusher::lab {
+
+inline base::Response reply(int status, const base::Value& body) {
+  return {status, base::encode(body), 0};
+}
+
+inline base::Response malformed(const std::string& error) {
+  return reply(400, base::Value::Map{{"error", error}});
+}
+
+/// The value of a name in the query of a target; empty when it is not there.
+inline std::string query(const std::string& target, const std::string& name) {
+  for (auto at = target.find('?'); at != std::string::npos; at = target.find('&', at + 1)) {
+    if (target.compare(at + 1, name.size() + 1, name + "=") != 0) continue;
+    const auto begin = at + name.size() + 2;
+    return target.substr(begin, target.find('&', begin) - begin);
+  }
+  return {};
+}
+
+}  // namespace wrenusher::lab
--- a/tests/standins/checker.hpp
+++ b/lab/models/include/wrenusher/lab/checker.hpp
@@ -9,11 +9,12 @@
 #include "wrenusher/protocol/messages.hpp"
 #include "wrenusher/settings/settings.hpp"
 
-namespace standins {
+namespace wrenusher::lab {
 
-using namespace wrenusher::base;
-using namespace wrenusher::settings;
-using namespace wrenusher::protocol;
+using namespace base;
+using settings::Settings;
+using settings::Team;
+using namespace protocol;
 
 class Checker {
  public:
@@ -67,4 +68,4 @@
   std::size_t starts_ = 0;
 };
 
-}  // namespace standins
+}  // namespace wrenusher::lab
--- /dev/null
+++ b/lab/models/include/wrenusher/lab/cloud.hpp
@@ -0,0 +1,44 @@
+#pragma once
+// The cloud of PROTOCOL: types and moving prices, bookings, returns, a list that lags, capacity that runs
+// out.
+
+#include <deque>
+
+#include "wrenusher/lab/machines.hpp"
+
+namespace wrenusher::lab {
+
+class Cloud {
+ public:
+  /// `scale`: how many times the site's capacity there is.
+  Cloud(Wires& wires, const Site& site, Machines& machines, int scale = 1);
+
+  void serve(const std::string& from, const Request& r, const Answer& answer);
+  void outage(bool on) { down_ = on; }
+  /// The machines that are up from the start.
+  void furnish();
+  std::uint64_t requests() const { return requests_; }
+  std::uint64_t rented() const { return rented_; }
+
+ private:
+  Response catalog() const;
+  Response rent(const Value& body);
+  Response give_back(const Value& body);
+  Response list(const std::string& target);
+  void note_list();
+  bool paced();
+
+  Wires& wires_;
+  const Site& site_;
+  Machines& machines_;
+  int scale_;
+  bool down_ = false;
+  std::map<std::string, std::vector<std::string>> bookings_;
+  std::deque<std::pair<Instant, Value::List>> lists_;
+  double tokens_;
+  Instant refilled_{};
+  std::uint64_t requests_ = 0;
+  std::uint64_t rented_ = 0;
+};
+
+}  // namespace wrenusher::lab
--- /dev/null
+++ b/lab/models/include/wrenusher/lab/machines.hpp
@@ -0,0 +1,117 @@
+#pragma once
+// The machines that the cloud rents out and the workers on them: boot, image fetch and cache, tasks, gangs,
+// saved progress, leases, spot notices, faults.
+
+#include <memory>
+
+#include "wrenusher/lab/checker.hpp"
+#include "wrenusher/lab/site.hpp"
+#include "wrenusher/lab/wires.hpp"
+
+namespace wrenusher::lab {
+
+/// What users uploaded of a job, and how it turns out.
+struct JobTruth {
+  JobSpec spec;
+  Micros run{};           ///< of a task on a machine of ordinary speed; 0: near the owner's estimate
+  bool mistaken = false;  ///< fails wherever it is put
+};
+
+class Machines {
+ public:
+  /// `speed`: how many times as fast as they say machines boot, fetch and work; reports and leases keep to
+  /// the clock.
+  Machines(Wires& wires, const Site& site, Checker& checker, double speed = 1);
+  ~Machines();
+  Machines(const Machines&) = delete;
+  Machines& operator=(const Machines&) = delete;
+
+  /// The controllers' addresses and names, in order. A worker reports to one of them.
+  void controllers(std::vector<std::pair<std::string, Endpoint>> nodes) { nodes_ = std::move(nodes); }
+  /// To be called once; steps for ever.
+  void start();
+
+  /// A user has described the job: workers can fetch it from now on.
+  void describe(JobTruth truth);
+  const JobTruth* job(const std::string& ref) const;
+
+  // The cloud's side
+  /// Empty where no address is left.
+  std::string rent(const std::string& flavor, const std::string& zone, bool standby, Micros boot);
+  void give_back(const std::string& host);
+  int there(const std::string& flavor, const std::string& zone, bool standby) const;
+  /// Rows of GET /rentals as of now.
+  Value::List list() const;
+  /// Money spent so far, at the prices given when rented.
+  double cost() const;
+
+  // Troubles
+  void die(const std::string& host);
+  void hang(const std::string& host, Micros how_long);
+  void take(const std::string& host, Micros notice);
+  void faulty(const std::string& host) { faulty_.insert(host); }
+  void mistaken(const std::string& ref) { mistaken_.insert(ref); }
+
+  /// Those that are up, of a zone if one is named.
+  std::vector<std::string> up(const std::string& zone = "") const;
+  bool standby(const std::string& host) const;
+  std::string zone_of(const std::string& host) const;
+
+  /// What became of work, in core seconds.
+  struct Work {
+    double done = 0;
+    double lost = 0;  ///< done again, since it was stopped unsaved
+  };
+  const Work& work() const { return work_; }
+  /// Tells when a task starts and how long it runs; a driver's accounts.
+  std::function<void(const std::string& ref, std::uint32_t task)> on_start;
+  std::function<void(const std::string& ref, std::uint32_t task)> on_done;
+
+ private:
+  struct Task;
+  struct Machine;
+  struct Gang;
+  using GangKey = std::pair<std::string, std::uint64_t>;
+  Machine* find(const std::string& host);
+  bool acts(const Machine& m) const;
+  Value describe(Machine& m);
+  void step();
+  void step_boot(Machine& m);
+  void step_lease(Machine& m);
+  void step_pulls(Machine& m);
+  void step_task(Machine& m, Task& t);
+  void step_gangs();
+  void step_gang(const GangKey& key, std::vector<std::pair<Machine*, Task*>>& tasks);
+  void got_image(Machine& m, Task& t);
+  void keep_image(Machine& m, const std::string& bundle, double gb);
+  void exit_task(Machine& m, Task& t, const std::string& cause);
+  void lose_tasks(Machine& m);
+  void execute(Machine& m, const Value& orders);
+  void run_order(Machine& m, const std::string& ref, std::uint32_t task, std::uint64_t attempt);
+  void halt_order(Task& t, Machine& m, Micros leeway);
+  void report(Machine& m);
+  void answered(const std::string& host, Instant sent, std::uint64_t tenure, const Outcome& o);
+  void serve_orders(const std::string& host, const Request& r, const Answer& answer);
+  Micros total(const Task& t) const;
+
+  Wires& wires_;
+  const Site& site_;
+  const Settings& settings_;
+  Checker& checker_;
+  double speed_;
+  std::vector<std::pair<std::string, Endpoint>> nodes_;
+  std::map<std::string, std::unique_ptr<Machine>> machines_;
+  int made_ = 0;
+  double spent_ = 0;  ///< on machines that are gone
+  std::map<std::string, JobTruth> jobs_;
+  std::set<std::string> mistaken_;
+  std::set<std::string> faulty_;
+  std::set<std::pair<std::string, std::uint32_t>> results_;
+  /// Progress that outlives a stop: of a task, or under task 0 of a whole gang.
+  std::map<std::pair<std::string, std::uint32_t>, Micros> saved_;
+  std::map<GangKey, Gang> gangs_;
+  Work work_;
+  Instant stepped_{};
+};
+
+}  // namespace wrenusher::lab
--- /dev/null
+++ b/lab/models/site.cpp
@@ -0,0 +1,377 @@
+#include "wrenusher/lab/site.hpp"
+
+#include <yaml-cpp/yaml.h>
+
+#include <cmath>
+#include <cstdlib>
+#include <fstream>
+#include <set>
+#include <sstream>
+
+namespace wrenusher::lab {
+
+namespace {
+
+/// A place in the file that knows its own name and line, so that every complaint says where.
+class Node {
+ public:
+  Node(YAML::Node at, std::string name, const std::string& file)
+      : at_(std::move(at)), name_(std::move(name)), file_(file) {}
+
+  [[noreturn]] void fail(const std::string& what) const {
+    throw SiteError(file_ + ":" + std::to_string(at_.Mark().line + 1) + ": " +
+                    (name_.empty() ? what : name_ + ": " + what));
+  }
+
+  bool has(const std::string& key) {
+    known_.insert(key);
+    return at_.IsMap() && at_[key].IsDefined() && !at_[key].IsNull();
+  }
+  Node operator[](const std::string& key) {
+    if (!at_.IsMap()) fail("must be a map of fields");
+    if (!has(key)) fail("has no field '" + key + "'");
+    return {at_[key], name_.empty() ? key : name_ + "." + key, file_};
+  }
+  /// To be called once every field was asked for: what was not is unknown.
+  void no_more() const {
+    if (!at_.IsMap()) fail("must be a map of fields");
+    for (const auto& field : at_) {
+      const auto key = field.first.as<std::string>();
+      if (known_.contains(key)) continue;
+      std::string names;
+      for (const std::string& k : known_) names += (names.empty() ? "" : ", ") + k;
+      throw SiteError(file_ + ":" + std::to_string(field.first.Mark().line + 1) + ": " +
+                      (name_.empty() ? "" : name_ + ": ") + "unknown field '" + key + "' (known: " + names +
+                      ")");
+    }
+  }
+  std::vector<Node> items() const {
+    if (!at_.IsSequence()) fail("must be a list");
+    std::vector<Node> out;
+    for (std::size_t i = 0; i < at_.size(); ++i)
+      out.emplace_back(at_[i], name_ + "[" + std::to_string(i) + "]", file_);
+    return out;
+  }
+  /// The entries of a map of names.
+  std::vector<std::pair<std::string, Node>> entries() const {
+    if (!at_.IsMap()) fail("must be a map of names");
+    std::vector<std::pair<std::string, Node>> out;
+    for (const auto& e : at_) {
+      const auto key = e.first.as<std::string>();
+      out.emplace_back(key, Node(e.second, name_ + "." + key, file_));
+    }
+    return out;
+  }
+
+  bool is_map() const { return at_.IsMap(); }
+  std::string text() const {
+    if (!at_.IsScalar() || at_.Scalar().empty()) fail("must be a text");
+    return at_.Scalar();
+  }
+  std::string one_of(const std::vector<std::string>& names) const {
+    const std::string t = text();
+    std::string all;
+    for (const std::string& n : names) {
+      if (n == t) return t;
+      all += (all.empty() ? "" : ", ") + n;
+    }
+    fail("'" + t + "' is none of " + all);
+  }
+  double number(double least, double most) const {
+    double n = 0;
+    try {
+      n = at_.as<double>();
+    } catch (const YAML::Exception&) {
+      fail("must be a number without a unit");
+    }
+    if (!std::isfinite(n) || n < least || n > most) {
+      std::ostringstream s;
+      s << "must be between " << least << " and " << most;
+      fail(s.str());
+    }
+    return n;
+  }
+  int whole(int least, int most) const {
+    const double n = number(least, most);
+    if (n != std::floor(n)) fail("must be a whole number");
+    return static_cast<int>(n);
+  }
+  bool boolean() const {
+    try {
+      return at_.as<bool>();
+    } catch (const YAML::Exception&) {
+      fail("must be true or false");
+    }
+  }
+  Micros duration() const {
+    const auto d = at_.IsScalar() ? parse_duration(at_.Scalar()) : std::nullopt;
+    if (!d) fail("must be a time with its unit: ms, s, m or h, like 30s");
+    return *d;
+  }
+  /// A number, or {median: , p95: }.
+  Spread spread(double least, double most) {
+    if (!is_map()) {
+      const double n = number(least, most);
+      return {n, n};
+    }
+    Spread s;
+    s.median = (*this)["median"].number(least, most);
+    s.p95 = (*this)["p95"].number(s.median, most);
+    no_more();
+    return s;
+  }
+  Spread spread_of_time() {
+    if (!is_map()) {
+      const double n = to_seconds(duration());
+      return {n, n};
+    }
+    Spread s;
+    s.median = to_seconds((*this)["median"].duration());
+    s.p95 = to_seconds((*this)["p95"].duration());
+    if (s.p95 < s.median) (*this)["p95"].fail("must not be below the median");
+    no_more();
+    return s;
+  }
+
+ private:
+  YAML::Node at_;
+  std::string name_;
+  const std::string& file_;
+  std::set<std::string> known_;
+};
+
+Needs read_needs(Node& n) {
+  Needs out;
+  out.cores = to_amount(n["cores"].number(0, 1e6));
+  out.cards = n.has("cards") ? to_amount(n["cards"].number(0, 1e6)) : 0;
+  out.memory = to_amount(n["memory_gb"].number(0, 1e6));
+  return out;
+}
+
+MachineType read_type(const std::string& name, Node n, const std::vector<std::string>& zones) {
+  MachineType t;
+  Flavor& f = t.flavor;
+  f.name = name;
+  f.room = read_needs(n);
+  f.cache_gb = n["cache_gb"].number(0, 1e6);
+  f.pull_gb_per_s = n["pull_gb_per_s"].number(1e-3, 1e3);
+  f.rate = n["price"].number(0, 1e6);
+  f.low_price = n["spot_price"].number(0, 1e6);
+  f.boot = n["boot"].duration();
+  f.sites = zones;
+  if (n.has("zones")) {
+    f.sites.clear();
+    for (const Node& z : n["zones"].items()) f.sites.push_back(z.one_of(zones));
+  }
+  t.spot = n["spot_per_zone"].whole(0, 100000);
+  t.ordinary = n["ordinary_per_zone"].whole(0, 100000);
+  n.no_more();
+  return t;
+}
+
+JobClass read_class(const std::string& name, Node n, const Settings& s) {
+  JobClass c;
+  c.name = name;
+  std::vector<std::string> teams;
+  for (const settings::Team& t : s.teams) teams.push_back(t.name);
+  if (n.has("team")) c.team = n["team"].one_of(teams);
+  const std::string shape = n["shape"].one_of({"array", "gang", "service"});
+  c.shape = shape == "array" ? Shape::sweep : shape == "gang" ? Shape::gang : Shape::daemon;
+  const std::string urgency = n["urgency"].one_of({"prod", "high", "normal", "low"});
+  c.urgency = urgency == "prod"     ? Urgency::prod
+              : urgency == "high"   ? Urgency::high
+              : urgency == "normal" ? Urgency::normal
+                                    : Urgency::low;
+  if (n.has("per_minute")) c.per_minute = n["per_minute"].number(0, 1e4);
+  if (n.has("at_start")) c.at_start = n["at_start"].whole(0, 100000);
+  if (n.has("tasks")) c.tasks = n["tasks"].spread(1, kMaxUnits);
+  if (c.shape != Shape::daemon) c.run_s = n["run"].spread_of_time();
+  if (n.has("estimate")) c.estimate = n["estimate"].spread(0.01, 100);
+  c.needs = read_needs(n);
+  if (n.has("image_gb")) c.image_gb = n["image_gb"].spread(0, 1e4);
+  if (n.has("images")) c.images = n["images"].whole(1, 100000);
+  if (n.has("spot")) c.standby = n["spot"].boolean();
+  if (n.has("same_place")) c.same_place = n["same_place"].boolean();
+  if (n.has("scatter")) c.scatter = n["scatter"].boolean();
+  if (n.has("saves_every")) c.snapshot_every = n["saves_every"].duration();
+  if (n.has("save")) c.snapshot = n["save"].duration();
+  if (n.has("due")) {
+    Node due = n["due"];
+    c.due_times = due["times"].number(0.01, 1000);
+    if (due.has("plus")) c.due_plus = due["plus"].duration();
+    due.no_more();
+  }
+  if (n.has("withdrawn")) c.withdrawn = n["withdrawn"].number(0, 1);
+  n.no_more();
+  return c;
+}
+
+TroubleSpec read_trouble(Node n) {
+  TroubleSpec t;
+  std::vector<std::string> names;
+  for (const auto& [name, help] : trouble_names()) names.push_back(name);
+  t.what = n["what"].one_of(names);
+  t.at = n["at"].duration();
+  if (n.has("lasts")) t.lasts = n["lasts"].duration();
+  if (n.has("every")) t.every = n["every"].duration();
+  if (n.has("whom")) t.whom = n["whom"].text();
+  if (n.has("share")) t.share = n["share"].number(0, 1);
+  n.no_more();
+  return t;
+}
+
+settings::Objective read_aim(Node n) {
+  settings::Objective o;
+  o.kind = n["kind"].one_of({"deadline", "finished", "wait"});
+  o.queue = n["class"].text();
+  if (n.has("times")) o.times = n["times"].number(0.01, 1000);
+  if (n.has("within")) o.within = n["within"].duration();
+  if (o.kind != "deadline" && o.within.count() == 0) n.fail("has no field 'within'");
+  n.no_more();
+  return o;
+}
+
+void read_cluster(Node n, Settings& s) {
+  s.report = n["report"].duration();
+  s.lease = n["lease"].duration();
+  s.gang_wait = n["gang_wait"].duration();
+  s.gang_peer = n["gang_peer"].duration();
+  s.cancel = n["cancel"].duration();
+  s.state_rps = n["state_rps"].number(1, 1e6);
+  s.state_write_rps = n["state_write_rps"].number(1, 1e6);
+  s.value_kb = n["value_kb"].number(1, 1024);
+  s.txn_ops = static_cast<std::size_t>(n["txn_ops"].whole(4, 1000));
+  s.cloud_rps = n["cloud_rps"].number(0.1, 1e4);
+  s.list_lag = n["list_lag"].duration();
+  s.max_sockets = n["max_sockets"].whole(64, 100000);
+  n.no_more();
+}
+
+}  // namespace
+
+double Spread::draw(std::mt19937_64& random) const {
+  if (p95 <= median || median <= 0) return median;
+  constexpr double kZ95 = 1.6448536269514722;
+  return std::lognormal_distribution<double>(std::log(median), std::log(p95 / median) / kZ95)(random);
+}
+
+const MachineType* Site::type(const std::string& flavor) const {
+  for (const MachineType& t : types) {
+    if (t.flavor.name == flavor) return &t;
+  }
+  return nullptr;
+}
+
+const std::vector<std::pair<std::string, std::string>>& trouble_names() {
+  static const std::vector<std::pair<std::string, std::string>> names = {
+      {"controller_crash", "one controller ends (whom: c0, c1, c2 or leader) and is back after `lasts`"},
+      {"all_crash", "all controllers end and are back after `lasts`"},
+      {"rolling_restart", "one controller after the other ends, `lasts` apart"},
+      {"controller_cut", "a controller is cut off from everything for `lasts`"},
+      {"controller_stalls", "a controller stands still for `lasts` (simulated time only)"},
+      {"state_outage", "the state service answers 503 for `lasts`"},
+      {"state_refuses", "the state service refuses one controller for `lasts`"},
+      {"state_slow", "answers of the state service take 300 ms longer for `lasts`"},
+      {"cloud_outage", "the cloud answers 503 for `lasts`"},
+      {"zone_cut", "a zone is cut off for `lasts`"},
+      {"machine_dies", "a `share` of the machines (0: one) stop with all that is on them"},
+      {"machine_hangs", "a `share` of the machines (0: one) hang for `lasts`"},
+      {"spot_wave", "a `share` of the spot machines are taken back, with `lasts` of notice"},
+  };
+  return names;
+}
+
+std::optional<Micros> parse_duration(const std::string& text) {
+  char* end = nullptr;
+  const double n = std::strtod(text.c_str(), &end);
+  const std::string unit = end;
+  if (end == text.c_str() || !std::isfinite(n) || n < 0 || n > 1e9) return std::nullopt;
+  if (unit == "ms") return from_seconds(n / 1000);
+  if (unit == "s") return from_seconds(n);
+  if (unit == "m") return from_seconds(n * 60);
+  if (unit == "h") return from_seconds(n * 3600);
+  return std::nullopt;
+}
+
+Site parse_site(const std::string& yaml, const std::string& file) {
+  YAML::Node root;
+  try {
+    root = YAML::Load(yaml);
+  } catch (const YAML::Exception& e) {
+    throw SiteError(file + ":" + std::to_string(e.mark.line + 1) + ": not valid YAML: " + e.msg);
+  }
+  Node top(root, "", file);
+  Site site;
+  Settings& s = site.settings;
+  site.name = top["name"].text();
+  if (top.has("length")) site.length = top["length"].duration();
+  for (const Node& z : top["zones"].items()) s.zones.push_back(z.text());
+  if (s.zones.empty()) top["zones"].fail("must name at least one zone");
+  for (auto& [name, n] : top["teams"].entries()) {
+    settings::Team t;
+    t.name = name;
+    if (n.has("cores")) t.cores = n["cores"].number(0, 1e9);
+    if (n.has("cores_max")) t.cores_max = n["cores_max"].number(0, 1e9);
+    if (n.has("cards")) t.cards = n["cards"].number(0, 1e9);
+    if (n.has("cards_max")) t.cards_max = n["cards_max"].number(0, 1e9);
+    n.no_more();
+    s.teams.push_back(t);
+  }
+  if (s.teams.empty()) top["teams"].fail("must name at least one team");
+  for (auto& [name, n] : top["types"].entries()) site.types.push_back(read_type(name, n, s.zones));
+  if (site.types.empty()) top["types"].fail("must name at least one machine type");
+  if (top.has("machines")) site.machines = top["machines"].whole(0, 100000);
+  read_cluster(top["limits"], s);
+  if (top.has("classes")) {
+    for (auto& [name, n] : top["classes"].entries()) site.classes.push_back(read_class(name, n, s));
+  }
+  if (top.has("aims")) {
+    for (const Node& n : top["aims"].items()) s.objectives.push_back(read_aim(n));
+  }
+  if (top.has("troubles")) {
+    for (const Node& n : top["troubles"].items()) site.troubles.push_back(read_trouble(n));
+  }
+  top.no_more();
+  return site;
+}
+
+Site load_site(const std::string& path) {
+  std::ifstream in(path, std::ios::binary);
+  std::stringstream text;
+  if (in) text << in.rdbuf();
+  if (!in || text.bad()) throw SiteError(path + ": cannot be read");
+  return parse_site(text.str(), path);
+}
+
+const char* small_site_yaml() {
+  return R"(name: small
+length: 5m
+zones: [a, b]
+teams:
+  red: {cores: 32, cores_max: 96}
+  blue: {}
+types:
+  small: {cores: 16, memory_gb: 64, cache_gb: 30, pull_gb_per_s: 1, price: 1, spot_price: 0.3, boot: 4s,
+          spot_per_zone: 8, ordinary_per_zone: 4}
+  large: {cores: 64, cards: 4, memory_gb: 256, cache_gb: 50, pull_gb_per_s: 1, price: 4, spot_price: 1.1,
+          boot: 6s, zones: [a], spot_per_zone: 3, ordinary_per_zone: 2}
+machines: 4
+limits: {report: 1s, lease: 10s, gang_wait: 20s, gang_peer: 3s, cancel: 30s, state_rps: 200, state_write_rps: 40,
+         value_kb: 16, txn_ops: 16, cloud_rps: 4, list_lag: 4s, max_sockets: 600}
+classes:
+  builds: {shape: array, urgency: normal, per_minute: 6, at_start: 2, tasks: {median: 6, p95: 20},
+           run: {median: 12s, p95: 25s}, estimate: {median: 1, p95: 1.5}, cores: 4, memory_gb: 4, image_gb: 2, images: 4,
+           spot: true, due: {times: 3, plus: 30s}}
+  fixes: {team: red, shape: array, urgency: high, per_minute: 4, at_start: 1, tasks: {median: 3, p95: 8},
+          run: {median: 6s, p95: 12s}, cores: 2, memory_gb: 2, image_gb: 1, images: 2, spot: true, due: {times: 3, plus: 20s}}
+  training: {team: red, shape: gang, urgency: normal, per_minute: 0.5, tasks: 3, run: 15s, cores: 8, memory_gb: 8,
+             image_gb: 3, same_place: true, spot: true, saves_every: 5s, save: 1s}
+  watch: {team: blue, shape: service, urgency: prod, at_start: 1, tasks: 2, cores: 2, memory_gb: 2, image_gb: 1,
+          scatter: true}
+aims:
+  - {kind: deadline, class: builds, times: 1}
+  - {kind: wait, class: fixes, within: 20s}
+)";
+}
+
+}  // namespace wrenusher::lab
--- /dev/null
+++ b/lab/sim/include/wrenusher/lab/world.hpp
@@ -0,0 +1,141 @@
+#pragma once
+// Package lab sim: whole controllers and the models of the lab in simulated time. One thread, one queue of
+// events, one seed: a day repeats exactly. It owns the clock, the network between the parties and the
+// controllers' processes; it may depend on the models and on the controller.
+
+#include <queue>
+#include <tuple>
+
+#include "wrenusher/controller/controller.hpp"
+#include "wrenusher/lab/cloud.hpp"
+#include "wrenusher/lab/state_service.hpp"
+#include "wrenusher/lab/users.hpp"
+
+namespace wrenusher::lab {
+
+/// Simulated time and a simulated network: messages take a while, now and then long; an answer in 200 is
+/// lost.
+class SimWires : public Wires {
+ public:
+  explicit SimWires(std::uint64_t seed) : random_(seed) {}
+
+  Instant now() const override { return now_; }
+  void at(Micros delay, std::function<void()> f) override;
+  std::mt19937_64& random() override { return random_; }
+  void send(const std::string& from, const Endpoint& to, Request request, Micros timeout, Done done) override;
+  std::optional<Endpoint> serve(const std::string& who, Handler handler) override;
+  void serve_at(const Endpoint& at, const std::string& who, Handler handler);
+  void unserve(const Endpoint& at) override { handlers_.erase(at); }
+
+  /// Runs all events until then.
+  void run(Micros how_long);
+  /// The links are whole again, and what was held is delivered.
+  void heal();
+  Links links;
+
+ private:
+  Micros delay();
+  /// Carries something over a link: now, when the link is whole again, or never.
+  void carry(const std::string& a, const std::string& b, std::function<void()> deliver);
+
+  Instant now_{};
+  std::uint64_t events_made_ = 0;
+  struct Event {
+    Instant at;
+    std::uint64_t order;
+    std::shared_ptr<std::function<void()>> f;
+    bool operator>(const Event& o) const { return std::tie(at, order) > std::tie(o.at, o.order); }
+  };
+  std::priority_queue<Event, std::vector<Event>, std::greater<>> events_;
+  std::mt19937_64 random_;
+  std::map<Endpoint, std::string> names_;
+  std::map<Endpoint, Handler> handlers_;
+  std::vector<std::function<void()>> held_;
+  int addresses_ = 0;
+};
+
+class World {
+  Site site_;  // before the checker, which refers to it
+
+ public:
+  /// `scale`: how many times the cloud's usual capacity there is.
+  explicit World(std::uint64_t seed, Settings settings = small_site(), int scale = 1);
+  World(std::uint64_t seed, Site site, int scale = 1);
+  ~World();
+  World(const World&) = delete;
+  World& operator=(const World&) = delete;
+
+  static Settings small_site();
+  static JobSpec job(int number, std::uint32_t units, double cores, double run_s);
+
+  void run(Micros how_long) { wires_.run(how_long); }
+  void at(Micros delay, std::function<void()> f) { wires_.at(delay, std::move(f)); }
+  Instant now() const { return wires_.now(); }
+  double uniform(double a, double b) { return wires_.uniform(a, b); }
+  int pick(int n) { return wires_.pick(n); }
+
+  // Users
+  void submit(const JobSpec& spec) { users_.submit({spec, {}, false}); }
+  void submit(const JobTruth& job) { users_.submit(job); }
+  void withdraw(const std::string& ref) { users_.withdraw(ref); }
+  std::string told(const std::string& ref) const { return users_.told(ref); }
+  /// One request to one controller, answered within the given time or not at all.
+  void tell(int controller, const Request& request, const Done& done);
+  std::optional<Response> ask(int controller, const Request& request, Micros within = from_seconds(5));
+
+  // Troubles
+  void crash(int controller, Micros back_after);
+  /// The controller stands still: its timers and all that comes to it wait.
+  void stall(int controller, Micros how_long);
+  void cut(const std::string& a, const std::string& b, Cut how) { wires_.links.cut(a, b, how); }
+  void isolate(const std::string& who, Cut how, const std::set<std::string>& but = {});
+  void cut_zone(const std::string& zone, Cut how) { wires_.links.cut_zone(zone, how); }
+  void heal() { wires_.heal(); }
+  void state_outage(bool on) { state_.outage(on); }
+  void state_refuses(int controller, bool on) { state_.refuse("c" + std::to_string(controller), on); }
+  void state_slow(Micros by) { state_.slow(by); }
+  void cloud_outage(bool on) { cloud_.outage(on); }
+  void die(const std::string& host) { machines_.die(host); }
+  void hang(const std::string& host, Micros how_long) { machines_.hang(host, how_long); }
+  void take(const std::string& host, Micros notice) { machines_.take(host, notice); }
+  std::vector<std::string> hosts(const std::string& zone = "") const { return machines_.up(zone); }
+  void fails_everywhere(const std::string& ref) { machines_.mistaken(ref); }
+  void fails_on(const std::string& host) { machines_.faulty(host); }
+  /// Strikes now; ends by itself.
+  void strike(const TroubleSpec& t);
+
+  Checker checker;
+  std::size_t live() const { return users_.live(); }
+  /// The controller that is certain to lead, or -1.
+  int leader() const;
+  /// Requests that reached the state service, by who sent them.
+  std::uint64_t state_requests(const std::string& who) const;
+  /// How many keys with the prefix the state service holds.
+  std::size_t keys(const std::string& prefix) const { return state_.count(prefix); }
+
+  const Site& site() const { return site_; }
+  const Users& users() const { return users_; }
+  const StateService& state() const { return state_; }
+  Machines& machines() { return machines_; }
+  const Cloud& cloud() const { return cloud_; }
+  /// Terms of leadership so far.
+  std::uint64_t terms() const;
+
+ private:
+  struct Node;
+  class NodeRuntime;
+  void start_node(int i);
+  void watch();
+  int controller(const std::string& whom);
+
+  SimWires wires_;
+  StateService state_;
+  Machines machines_;
+  Cloud cloud_;
+  Balancer balancer_;
+  Users users_;
+  std::vector<std::unique_ptr<Node>> nodes_;
+  std::vector<std::unique_ptr<Node>> graveyard_;
+};
+
+}  // namespace wrenusher::lab
--- /dev/null
+++ b/lab/sim/world.cpp
@@ -0,0 +1,331 @@
+#include "wrenusher/lab/world.hpp"
+
+#include <algorithm>
+
+namespace wrenusher::lab {
+
+namespace {
+
+constexpr int kControllers = 3;
+constexpr Micros kWatch = millis(100);
+constexpr Micros kAgreeEvery = from_seconds(1);
+const Endpoint kState = "10.2.0.1:2379";
+const Endpoint kCloud = "10.2.0.2:8443";
+
+std::string name_of(int i) {
+  return "c" + std::to_string(i);
+}
+Endpoint client_of(int i) {
+  return "10.0.0." + std::to_string(i + 1) + ":8080";
+}
+Endpoint peer_of(int i) {
+  return "10.0.0." + std::to_string(i + 1) + ":8081";
+}
+
+Site default_site(Settings settings) {
+  Site s;
+  s.name = "small";
+  s.settings = std::move(settings);
+  const auto type = [](const char* name, double cores, double cards, double memory, double cache, double rate,
+                       double low, double boot, std::vector<std::string> zones, int spot, int ordinary) {
+    MachineType t;
+    t.flavor = {name,
+                {to_amount(cores), to_amount(cards), to_amount(memory)},
+                cache,
+                1,
+                rate,
+                low,
+                from_seconds(boot),
+                std::move(zones)};
+    t.spot = spot;
+    t.ordinary = ordinary;
+    return t;
+  };
+  s.types = {type("small", 16, 0, 64, 30, 1, 0.3, 8, {"a", "b"}, 6, 3),
+             type("large", 64, 4, 256, 50, 4, 1.1, 12, {"a"}, 3, 2)};
+  return s;
+}
+
+std::vector<std::pair<std::string, Endpoint>> controllers() {
+  std::vector<std::pair<std::string, Endpoint>> out;
+  for (int i = 0; i < kControllers; ++i) out.emplace_back(name_of(i), client_of(i));
+  return out;
+}
+
+std::vector<Endpoint> clients() {
+  std::vector<Endpoint> out;
+  for (int i = 0; i < kControllers; ++i) out.push_back(client_of(i));
+  return out;
+}
+
+}  // namespace
+
+class World::NodeRuntime : public Runtime {
+ public:
+  NodeRuntime(SimWires& wires, std::string name, double drift)
+      : random_(wires.random()()), wires_(wires), name_(std::move(name)), drift_(drift) {}
+  bool alive = true;
+  Instant stalled_until{};
+
+  Instant now() const override {
+    return Instant{Micros{
+        static_cast<std::int64_t>(static_cast<double>(wires_.now().time_since_epoch().count()) * drift_)}};
+  }
+  WallTime wall() const override { return WallTime{wires_.now().time_since_epoch() + from_seconds(1e9)}; }
+  std::mt19937_64& random() override { return random_; }
+  void post(std::function<void()> f) override { after(Micros{0}, std::move(f)); }
+  void after(Micros delay, std::function<void()> f) override {
+    wires_.at(delay, [this, f = std::move(f)]() mutable { run(std::move(f)); });
+  }
+  void fetch(const Endpoint& to, Request request, Micros timeout, Done done) override {
+    wires_.send(name_, to, std::move(request), timeout, [this, done = std::move(done)](Outcome o) mutable {
+      run([done, o = std::move(o)]() mutable { done(std::move(o)); });
+    });
+  }
+  /// Runs `f`, once this controller moves again.
+  void run(std::function<void()> f) {
+    if (!alive) return;
+    if (wires_.now() < stalled_until) {
+      wires_.at(stalled_until - wires_.now(), [this, f = std::move(f)]() mutable { run(std::move(f)); });
+    } else {
+      f();
+    }
+  }
+
+ private:
+  std::mt19937_64 random_;
+  SimWires& wires_;
+  std::string name_;
+  double drift_;
+};
+
+struct World::Node {
+  std::string name;
+  NodeRuntime runtime;
+  controller::Controller controller;
+  Node(SimWires& wires, const std::string& n, double drift, const Settings& s)
+      : name(n), runtime(wires, n, drift), controller(runtime, s) {}
+};
+
+Settings World::small_site() {
+  Settings s;
+  s.zones = {"a", "b"};
+  s.teams = {{"red", 32, 96, 0, 0}, {"blue", 0, 0, 0, 0}};
+  s.report = from_seconds(1);
+  s.lease = from_seconds(10);
+  s.gang_wait = from_seconds(20);
+  s.gang_peer = from_seconds(3);
+  s.cancel = from_seconds(30);
+  s.state_rps = 200;
+  s.state_write_rps = 40;
+  s.value_kb = 16;
+  s.txn_ops = 16;
+  s.cloud_rps = 4;
+  s.list_lag = from_seconds(4);
+  s.max_sockets = 600;
+  return s;
+}
+
+JobSpec World::job(int number, std::uint32_t units, double cores, double run_s) {
+  JobSpec s;
+  s.ref = "req-" + std::to_string(100000 + number);
+  s.queue = "work";
+  s.owner = number % 2 == 0 ? "red" : "blue";
+  s.units = units;
+  s.needs = {to_amount(cores), 0, to_amount(2)};
+  s.bundle = "img-" + std::to_string(number % 3);
+  s.image_gb = 2;
+  s.standby = true;
+  s.expected = from_seconds(run_s);
+  return s;
+}
+
+World::World(std::uint64_t seed, Settings settings, int scale)
+    : World(seed, default_site(std::move(settings)), scale) {}
+
+World::World(std::uint64_t seed, Site site, int scale)
+    : site_(std::move(site)),
+      checker(site_.settings),
+      wires_(seed),
+      state_(wires_,
+             {site_.settings.state_rps, site_.settings.state_write_rps, site_.settings.value_kb,
+              site_.settings.txn_ops},
+             std::make_unique<MemoryKeep>()),
+      machines_(wires_, site_, checker),
+      cloud_(wires_, site_, machines_, scale),
+      balancer_(wires_, clients()),
+      users_(wires_, balancer_, machines_, checker) {
+  wires_.links.zone_of = [this](const std::string& name) -> std::string {
+    for (int i = 0; i < kControllers; ++i) {
+      if (name == name_of(i))
+        return site_.settings.zones[static_cast<std::size_t>(i) % site_.settings.zones.size()];
+    }
+    return machines_.zone_of(name);
+  };
+  wires_.serve_at(kState, "state", [this](const std::string& from, const Request& r, const Answer& a) {
+    state_.serve(from, r, a);
+  });
+  wires_.serve_at(kCloud, "cloud", [this](const std::string& from, const Request& r, const Answer& a) {
+    cloud_.serve(from, r, a);
+  });
+  machines_.controllers(controllers());
+  cloud_.furnish();
+  nodes_.resize(kControllers);
+  for (int i = 0; i < kControllers; ++i) start_node(i);
+  balancer_.start();
+  machines_.start();
+  watch();
+}
+
+World::~World() = default;
+
+void World::start_node(int i) {
+  const std::string name = name_of(i);
+  Settings s = site_.settings;
+  s.node = name;
+  s.zone = s.zones[static_cast<std::size_t>(i) % s.zones.size()];
+  s.client_listen = client_of(i);
+  s.peer_listen = peer_of(i);
+  s.state = kState;
+  s.cloud = kCloud;
+  for (int k = 0; k < kControllers; ++k) {
+    if (k != i)
+      s.peers.push_back({name_of(k), s.zones[static_cast<std::size_t>(k) % s.zones.size()], peer_of(k)});
+  }
+  auto& node = nodes_[static_cast<std::size_t>(i)];
+  node = std::make_unique<Node>(wires_, name, 1.0 + uniform(0, 0.0005), s);
+  Node* n = node.get();
+  wires_.serve_at(client_of(i), name, [n](const std::string&, const Request& r, const Answer& a) {
+    n->runtime.run([n, r, a] { n->controller.serve_client(r, a); });
+  });
+  wires_.serve_at(peer_of(i), name, [n](const std::string&, const Request& r, const Answer& a) {
+    n->runtime.run([n, r, a] { n->controller.serve_peer(r, a); });
+  });
+  n->controller.start();
+}
+
+/// What no rule of the protocol names, but several rest on.
+void World::watch() {
+  checker.leaders(static_cast<int>(std::count_if(
+      nodes_.begin(), nodes_.end(), [](const auto& n) { return n && n->controller.certain(); })));
+  if (now().time_since_epoch() % kAgreeEvery < kWatch) {
+    for (const auto& n : nodes_) {
+      if (n) checker.agrees(n->controller.disagreement());
+    }
+  }
+  at(kWatch, [this] { watch(); });
+}
+
+void World::tell(int controller, const Request& request, const Done& done) {
+  wires_.send("user", client_of(controller), request, from_seconds(2), done);
+}
+
+std::optional<Response> World::ask(int controller, const Request& request, Micros within) {
+  auto out = std::make_shared<std::optional<Response>>();
+  wires_.send("user", client_of(controller), request, within, [out](const Outcome& o) {
+    if (o.answered) *out = o.response;
+  });
+  const Instant end = now() + within;
+  while (!out->has_value() && now() < end) run(millis(10));
+  return *out;
+}
+
+void World::crash(int i, Micros back_after) {
+  auto& n = nodes_[static_cast<std::size_t>(i)];
+  if (!n) return;
+  n->runtime.alive = false;
+  wires_.unserve(client_of(i));
+  wires_.unserve(peer_of(i));
+  graveyard_.push_back(std::move(n));  // events on their way still name it
+  at(back_after, [this, i] { start_node(i); });
+}
+
+void World::stall(int i, Micros how_long) {
+  if (const auto& n = nodes_[static_cast<std::size_t>(i)]) n->runtime.stalled_until = now() + how_long;
+}
+
+void World::isolate(const std::string& who, Cut how, const std::set<std::string>& but) {
+  std::set<std::string> others{"state", "cloud", "user"};
+  for (int i = 0; i < kControllers; ++i) others.insert(name_of(i));
+  for (const std::string& host : machines_.up()) others.insert(host);
+  others.erase(who);
+  for (const std::string& o : others) {
+    if (!but.contains(o)) cut(who, o, how);
+  }
+}
+
+int World::leader() const {
+  for (std::size_t i = 0; i < nodes_.size(); ++i) {
+    if (nodes_[i] && nodes_[i]->controller.certain()) return static_cast<int>(i);
+  }
+  return -1;
+}
+
+std::uint64_t World::state_requests(const std::string& who) const {
+  const auto it = state_.requests().find(who);
+  return it == state_.requests().end() ? 0 : it->second;
+}
+
+std::uint64_t World::terms() const {
+  const Entry* e = state_.find("epoch");
+  return e == nullptr ? 0 : e->value["epoch"].count().value_or(0);
+}
+
+int World::controller(const std::string& whom) {
+  for (int i = 0; i < kControllers; ++i) {
+    if (whom == name_of(i)) return i;
+  }
+  if (whom == "leader" && leader() >= 0) return leader();
+  return pick(kControllers);
+}
+
+void World::strike(const TroubleSpec& t) {
+  const auto some = [&](std::vector<std::string> hosts) {
+    std::shuffle(hosts.begin(), hosts.end(), wires_.random());
+    const auto n = t.share > 0 ? static_cast<std::size_t>(t.share * static_cast<double>(hosts.size())) : 1;
+    hosts.resize(std::min(hosts.size(), n));
+    return hosts;
+  };
+  const auto ends = [&](std::function<void()> f) { at(t.lasts, std::move(f)); };
+  if (t.what == "controller_crash") {
+    crash(controller(t.whom), t.lasts);
+  } else if (t.what == "all_crash") {
+    for (int i = 0; i < kControllers; ++i) crash(i, t.lasts);
+  } else if (t.what == "rolling_restart") {
+    for (int i = 0; i < kControllers; ++i) at(t.lasts * i, [this, i] { crash(i, from_seconds(3)); });
+  } else if (t.what == "controller_cut") {
+    isolate(name_of(controller(t.whom)), pick(2) == 0 ? Cut::hold : Cut::reset);
+    ends([this] { heal(); });
+  } else if (t.what == "controller_stalls") {
+    stall(controller(t.whom), t.lasts);
+  } else if (t.what == "state_outage") {
+    state_outage(true);
+    ends([this] { state_outage(false); });
+  } else if (t.what == "state_refuses") {
+    const int c = controller(t.whom);
+    state_refuses(c, true);
+    ends([this, c] { state_refuses(c, false); });
+  } else if (t.what == "state_slow") {
+    state_slow(millis(300));
+    ends([this] { state_slow(Micros{0}); });
+  } else if (t.what == "cloud_outage") {
+    cloud_outage(true);
+    ends([this] { cloud_outage(false); });
+  } else if (t.what == "zone_cut") {
+    const auto& zones = site_.settings.zones;
+    cut_zone(t.whom.empty() ? zones[static_cast<std::size_t>(pick(static_cast<int>(zones.size())))] : t.whom,
+             pick(2) == 0 ? Cut::hold : Cut::reset);
+    ends([this] { heal(); });
+  } else if (t.what == "machine_dies") {
+    for (const std::string& h : t.whom.empty() ? some(hosts()) : std::vector<std::string>{t.whom}) die(h);
+  } else if (t.what == "machine_hangs") {
+    for (const std::string& h : t.whom.empty() ? some(hosts()) : std::vector<std::string>{t.whom})
+      hang(h, t.lasts);
+  } else if (t.what == "spot_wave") {
+    std::vector<std::string> spot = hosts();
+    std::erase_if(spot, [&](const std::string& h) { return !machines_.standby(h); });
+    for (const std::string& h : some(spot)) take(h, t.lasts);
+  }
+}
+
+}  // namespace wrenusher::lab
