--- /dev/null
+++ b/apps/wrenlab/main.cpp
@@ -0,0 +1,410 @@
+// wrenlab: a lab on loopback with real controllers, experiments in simulated time, and a demonstration.
+
+#include <spdlog/spdlog.h>
+#include <unistd.h>
+
+#include <CLI/CLI.hpp>
+#include <filesystem>
+#include <fstream>
+#include <iostream>
+#include <nlohmann/json.hpp>
+#include <sstream>
+
+#include "wrenusher/lab/answers.hpp"
+#include "wrenusher/lab/day.hpp"
+#include "wrenusher/lab/live_lab.hpp"
+#include "wrenusher/lab/verdict.hpp"
+
+namespace {
+
+using namespace wrenusher::base;
+namespace lab = wrenusher::lab;
+using wrenusher::net::UvRuntime;
+
+constexpr int kBadInput = 2;
+constexpr int kFailed = 1;
+constexpr int kMostSockets = 60000;
+constexpr int kPool = 512;
+constexpr int kPort = 7400;
+
+lab::Site site_of(const std::string& file) {
+  return file.empty() ? lab::parse_site(lab::small_site_yaml(), "built-in site") : lab::load_site(file);
+}
+
+/// Calls `f` once at the first SIGINT, SIGTERM or SIGHUP.
+class Signals {
+ public:
+  Signals(UvRuntime& rt, std::function<void()> f) : f_(std::move(f)) {
+    const int numbers[] = {SIGINT, SIGTERM, SIGHUP};
+    for (int i = 0; i < 3; ++i) {
+      uv_signal_init(rt.loop(), &handles_[i]);
+      handles_[i].data = this;
+      uv_signal_start(
+          &handles_[i],
+          [](uv_signal_t* h, int) {
+            if (auto once = std::exchange(static_cast<Signals*>(h->data)->f_, nullptr)) once();
+          },
+          numbers[i]);
+    }
+  }
+
+ private:
+  uv_signal_t handles_[3]{};
+  std::function<void()> f_;
+};
+
+std::string read_file(const std::string& path) {
+  std::ifstream in(path, std::ios::binary);
+  std::stringstream text;
+  if (in) text << in.rdbuf();
+  if (!in || text.bad()) throw lab::SiteError(path + ": cannot be read");
+  return text.str();
+}
+
+// ---------------------------------------------------------------- up
+
+int up(const lab::LabOptions& options) {
+  UvRuntime rt(kMostSockets, kPool);
+  lab::LiveLab l(rt, options);
+  Signals signals(rt, [&] {
+    std::cout << "stopping" << std::endl;
+    l.stop([&] { rt.stop(); });
+  });
+  struct Wait {
+    UvRuntime* rt;
+    lab::LiveLab* l;
+    void operator()() const {
+      if (!l->ready()) {
+        rt->after(millis(100), *this);
+        return;
+      }
+      std::cout << "lab '" << l->options().site.name << "' is up, " << l->leader() << " leads\n"
+                << "  users    http://" << l->front()
+                << "  (PROTOCOL's requests in CBOR, through the balancer)\n"
+                << "  control  http://" << l->control() << "\n";
+      for (int i = 0; i < l->options().controllers; ++i)
+        std::cout << "  c" << i << "       http://" << l->client(i) << "  log " << l->log_of(i) << "\n";
+      std::cout << "try: wrenlab submit "
+                << (l->options().site.classes.empty() ? "CLASS" : l->options().site.classes.front().name)
+                << (l->options().port == kPort ? "" : " --port " + std::to_string(l->options().port))
+                << "\nstop with Ctrl-C" << std::endl;
+    }
+  };
+  Wait{&rt, &l}();
+  rt.run();
+  return 0;
+}
+
+// ---------------------------------------------------------------- demo
+
+/// A mixed day in real time: arrays, a gang, a service, a withdrawal, a refused job; the leader killed in the
+/// middle.
+class Demo {
+ public:
+  Demo(UvRuntime& rt, lab::LiveLab& l) : rt_(rt), l_(l) {}
+
+  void start() {
+    began_ = rt_.now();
+    wait();
+  }
+  int result() const { return result_; }
+
+ private:
+  static constexpr Micros kLong = from_seconds(100);
+
+  void say(const std::string& what) {
+    std::printf("%5.1f s  %s\n", to_seconds(rt_.now() - began_), what.c_str());
+    std::fflush(stdout);
+  }
+
+  void wait() {
+    if (!l_.ready()) {
+      if (rt_.now() - began_ > from_seconds(20)) {
+        say("no controller leads after 20 s; see " + l_.log_of(0));
+        finish(1);
+        return;
+      }
+      rt_.after(millis(100), [this] { wait(); });
+      return;
+    }
+    say(l_.leader() + " leads");
+    rt_.after(from_seconds(2), [this] { submit(); });
+  }
+
+  void submit() {
+    std::vector<std::string> builds;
+    for (int i = 0; i < 6; ++i) builds.push_back(l_.submit("builds"));
+    for (int i = 0; i < 4; ++i) l_.submit("fixes");
+    l_.submit("training");
+    service_ = l_.submit("watch");
+    lab::JobTruth never =
+        lab::draw_job(l_.options().site, l_.options().site.classes.front(), 1, rt_.random());
+    never.spec.ref = "req-1";
+    never.spec.owner = "nobody";
+    l_.submit(never);
+    say("submitted 6 builds, 4 fixes, a gang, a service, and a job of a team that does not exist");
+    rt_.after(from_seconds(4), [this, ref = builds.back()] {
+      l_.withdraw(ref);
+      say("withdrew " + ref);
+    });
+    rt_.after(from_seconds(10), [this] {
+      for (int i = 0; i < 3; ++i) l_.submit("fixes");
+      say("submitted 3 fixes more; " + l_.act({"kill", "leader", "8s"}));
+    });
+    rt_.after(from_seconds(30), [this] {
+      l_.withdraw(service_);
+      say("withdrew the service " + service_);
+    });
+    rt_.after(from_seconds(32), [this] { watch(); });
+    progress();
+  }
+
+  void progress() {
+    if (over_) return;
+    const auto s = l_.status();
+    std::string jobs;
+    for (const auto& [state, n] : *s["jobs"].map())
+      jobs += " " + std::to_string(n.count().value_or(0)) + " " + state;
+    say((l_.leader().empty() ? std::string("nobody") : l_.leader()) + " leads, " +
+        std::to_string(l_.machines().up().size()) + " machines, jobs:" + jobs);
+    rt_.after(from_seconds(4), [this] { progress(); });
+  }
+
+  void watch() {
+    const lab::Verdict v = lab::judge(l_.users(), l_.machines(), l_.checker());
+    if (v.lost > 0 && v.broken.empty() && rt_.now() - began_ < kLong) {
+      rt_.after(millis(500), [this] { watch(); });
+      return;
+    }
+    over_ = true;
+    std::cout << '\n'
+              << lab::table(v) << l_.ends() << " controller ended, " << l_.terms()
+              << " terms of leadership\n";
+    finish(v.good ? 0 : kFailed);
+  }
+
+  void finish(int result) {
+    over_ = true;
+    result_ = result;
+    l_.stop([this] { rt_.stop(); });
+  }
+
+  UvRuntime& rt_;
+  lab::LiveLab& l_;
+  Instant began_{};
+  std::string service_;
+  bool over_ = false;
+  int result_ = kFailed;
+};
+
+int demo(lab::LabOptions options) {
+  options.site = site_of("");
+  options.data.clear();
+  UvRuntime rt(kMostSockets, kPool);
+  lab::LiveLab l(rt, options);
+  Demo d(rt, l);
+  bool interrupted = false;
+  Signals signals(rt, [&] {
+    interrupted = true;
+    l.stop([&] { rt.stop(); });
+  });
+  d.start();
+  rt.run();
+  return interrupted ? kFailed : d.result();
+}
+
+// ---------------------------------------------------------------- asking a running lab
+
+int ask(int port, const Request& request, const std::function<int(const Value&)>& show) {
+  UvRuntime rt(64);
+  int result = kFailed;
+  const Endpoint at = lab::loopback(port + 1);
+  rt.fetch(at, request, from_seconds(10), [&](const Outcome& o) {
+    const auto v = o.answered ? decode(o.response.body) : std::nullopt;
+    if (!v) {
+      std::cerr << "wrenlab: no lab answers at " << at
+                << "; start one with 'wrenlab up', or name its --port\n";
+    } else if (o.response.status != 200) {
+      std::cerr << "wrenlab: " << ((*v)["error"].text() != nullptr ? *(*v)["error"].text() : "refused")
+                << '\n';
+      result = kBadInput;
+    } else {
+      result = show(*v);
+    }
+    rt.stop();
+  });
+  rt.run();
+  return result;
+}
+
+int act(int port, const std::vector<std::string>& words) {
+  Value::List list;
+  for (const std::string& w : words) list.emplace_back(w);
+  return ask(port, {"POST", "/act", encode(Value::Map{{"words", std::move(list)}})}, [](const Value& v) {
+    std::cout << (v["said"].text() != nullptr ? *v["said"].text() : "") << '\n';
+    return 0;
+  });
+}
+
+int status(int port) {
+  return ask(port, {"GET", "/status", {}}, [](const Value& v) {
+    const auto text = [&](const char* name) {
+      return v[name].text() != nullptr ? *v[name].text() : std::string();
+    };
+    std::cout << "site " << text("site") << ": " << (text("leader").empty() ? "nobody" : text("leader"))
+              << " leads, term " << v["terms"].count().value_or(0) << ", "
+              << v["machines"].count().value_or(0) << " machines up, " << v["keys"].count().value_or(0)
+              << " keys\n";
+    for (const Value& c : *v["controllers"].list())
+      std::cout << "  " << *c["name"].text() << "  " << *c["at"].text()
+                << (c["running"].boolean().value_or(false) ? "" : "  not running") << '\n';
+    for (const auto& [state, n] : *v["jobs"].map())
+      std::cout << "  jobs " << state << ": " << n.count().value_or(0) << '\n';
+    if (!text("state_trouble").empty())
+      std::cout << "the state service keeps nothing: " << text("state_trouble") << '\n';
+    for (const Value& b : *v["broken_rules"].list()) std::cout << "BROKEN " << *b.text() << '\n';
+    return v["broken_rules"].list()->empty() ? 0 : kFailed;
+  });
+}
+
+// ---------------------------------------------------------------- experiments
+
+int day(const std::string& file, int seeds, int first, const std::string& json) {
+  const lab::Site site = site_of(file);
+  const bool bar = isatty(STDERR_FILENO) != 0;
+  std::vector<lab::DayResult> days;
+  for (int i = 0; i < seeds; ++i) {
+    if (bar) {
+      const int done = 30 * i / seeds;
+      std::cerr << "\r[" << std::string(static_cast<std::size_t>(done), '#')
+                << std::string(static_cast<std::size_t>(30 - done), ' ') << "] " << i << " of " << seeds
+                << std::flush;
+    }
+    days.push_back(lab::play_day(site, static_cast<std::uint64_t>(first + i)));
+  }
+  if (bar) std::cerr << "\r\033[K";
+  if (!json.empty()) {
+    std::ofstream out(json);
+    out << lab::day_json(site, days).dump(1) << '\n';
+    if (!out.flush()) throw lab::SiteError(json + ": cannot be written");
+  }
+  std::cout << lab::day_table(site, days);
+  const bool broken = std::any_of(days.begin(), days.end(), [](const auto& d) { return !d.broken.empty(); });
+  return broken ? kFailed : 0;
+}
+
+int compare(const std::string& a, const std::string& b) {
+  const lab::Comparison c =
+      lab::compare_days(lab::read_days(read_file(a), a), lab::read_days(read_file(b), b));
+  if (c.pairs == 0) throw lab::SiteError(a + " and " + b + ": no two days have the same seed");
+  std::cout << lab::comparison_table(c);
+  return 0;
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  if (argc > 2 && std::string(argv[1]) == lab::kChildFlag) return lab::run_child(argv + 2);
+  CLI::App app{
+      "wrenlab: a lab for wrenusher. Starts everything that the service talks to on this machine, or plays "
+      "days in simulated time."};
+  app.require_subcommand(1);
+  app.set_version_flag("--version", std::string("wrenlab ") + WRENUSHER_VERSION);
+  lab::LabOptions options;
+  std::error_code ignored;
+  options.wrenusher =
+      (std::filesystem::read_symlink("/proc/self/exe", ignored).parent_path() / "wrenusher").string();
+  options.port = kPort;
+  std::string site;
+  int machines = -1;
+
+  auto* c_up = app.add_subcommand("up", "start a lab and keep it running until Ctrl-C");
+  auto* c_demo = app.add_subcommand("demo",
+                                    "a mixed day of under two minutes with the leader killed in the middle; "
+                                    "exit code 0 if nothing is lost");
+  for (auto* c : {c_up, c_demo}) {
+    c->add_option("--wrenusher", options.wrenusher, "the program to run (beside this one)");
+    c->add_option("--controllers", options.controllers, "how many controllers (3)")->check(CLI::Range(1, 9));
+    c->add_option("--port", options.port, "first of the ports used (7400)")->check(CLI::Range(1024, 60000));
+  }
+  c_up->add_option("--site", site, "site file (YAML); a small built-in one otherwise");
+  c_up->add_option("--machines", machines, "machines that are up from the start")->check(CLI::Range(0, 500));
+  c_up->add_option("--speed", options.speed, "how many times as fast machines boot, fetch and work (1)")
+      ->check(CLI::Range(0.1, 100.0));
+  c_up->add_option("--data", options.data,
+                   "folder in which the state service keeps its keys; nothing outlives the lab otherwise");
+
+  std::string file;
+  std::string json;
+  int seeds = 1;
+  int first = 1;
+  auto* c_day = app.add_subcommand("day", "play a site's day in simulated time, with the rules' checker on");
+  c_day->add_option("FILE", file, "site file (YAML); a small built-in one otherwise");
+  c_day->add_option("--seeds", seeds, "how many days, each with another seed (1)")
+      ->check(CLI::Range(1, 10000));
+  c_day->add_option("--first", first, "the first seed (1)")->check(CLI::Range(1, 1000000));
+  c_day->add_option("--json", json, "also write all figures of all days to this file");
+
+  std::string file_a;
+  std::string file_b;
+  auto* c_compare = app.add_subcommand(
+      "compare", "pair two results of 'day --json' by seed and say what moved beyond the spread");
+  c_compare->add_option("A", file_a, "before")->required();
+  c_compare->add_option("B", file_b, "after")->required();
+
+  auto* c_status =
+      app.add_subcommand("status", "what a running lab is doing; exit code 1 once a rule is broken");
+  const std::vector<std::pair<const char*, const char*>> acts = {
+      {"kill", "kill c0|leader [1s]: a controller ends, and is started again after that time"},
+      {"cut",
+       "cut A B [hold|reset]: two parties (c0, state, cloud, user, m-3), 'all', or 'zone' and its name"},
+      {"heal", "heal: all links, the state service and the cloud are whole again"},
+      {"outage", "outage state|cloud|c0 [10s]: of all, or of the state service for one controller"},
+      {"take", "take m-3 [20s]: a spot machine is taken back after a notice"},
+      {"die", "die m-3: a machine stops with all that is on it"},
+      {"hang", "hang m-3 [10s]"},
+      {"submit", "submit CLASS [N]: jobs of a class of the site"},
+      {"withdraw", "withdraw REF"},
+      {"jobs", "the jobs submitted so far and what their users were told"}};
+  std::vector<std::string> words;
+  std::vector<CLI::App*> c_acts;
+  for (const auto& [name, help] : acts) {
+    auto* c = app.add_subcommand(name, help);
+    c->add_option("words", words, "see above");
+    c_acts.push_back(c);
+  }
+  for (auto* c : c_acts) c->add_option("--port", options.port, "first port of the lab (7400)");
+  c_status->add_option("--port", options.port, "first port of the lab (7400)");
+
+  try {
+    app.parse(argc, argv);
+  } catch (const CLI::ParseError& e) {
+    return app.exit(e) == 0 ? 0 : kBadInput;
+  }
+  // The controllers in simulated time log as the daemon does, to be seen only when asked for.
+  const char* level = std::getenv("LOG_LEVEL");
+  spdlog::set_level(level != nullptr && *level != '\0' ? spdlog::level::from_str(level) : spdlog::level::off);
+  try {
+    if (*c_up) {
+      options.site = site_of(site);
+      if (machines >= 0) options.site.machines = machines;
+      return up(options);
+    }
+    if (*c_demo) return demo(options);
+    if (*c_day) return day(file, seeds, first, json);
+    if (*c_compare) return compare(file_a, file_b);
+    if (*c_status) return status(options.port);
+    for (auto* c : c_acts) {
+      if (!*c) continue;
+      words.insert(words.begin(), c->get_name());
+      return act(options.port, words);
+    }
+  } catch (const lab::KeepDamaged& e) {
+    std::cerr << "wrenlab: " << e.what() << '\n';
+    return kFailed;
+  } catch (const std::exception& e) {  // a site file, a port, a missing program: one line
+    std::cerr << "wrenlab: " << e.what() << '\n';
+    return kBadInput;
+  }
+  return 0;
+}
--- a/apps/wrenusher/main.cpp
+++ b/apps/wrenusher/main.cpp
@@ -1,14 +1,10 @@
 // The wrenusher daemon: reads its settings, listens, and runs until it is ended.
 
-#include <spdlog/cfg/env.h>
-#include <spdlog/sinks/stdout_sinks.h>
-#include <spdlog/spdlog.h>
-
 #include <CLI/CLI.hpp>
-#include <cstdlib>
 #include <iostream>
 
 #include "wrenusher/controller/controller.hpp"
+#include "wrenusher/log/log.hpp"
 #include "wrenusher/net/net.hpp"
 
 namespace {
@@ -16,15 +12,6 @@
 constexpr int kBadSettings = 2;
 constexpr int kCannotRun = 1;
 
-void set_up_log() {
-  spdlog::set_default_logger(
-      std::make_shared<spdlog::logger>("wrenusher", std::make_shared<spdlog::sinks::stderr_sink_st>()));
-  spdlog::set_pattern("%Y-%m-%dT%H:%M:%S.%e %l %v");
-  const char* level = std::getenv("LOG_LEVEL");
-  spdlog::set_level(level != nullptr && *level != '\0' ? spdlog::level::from_str(level)
-                                                       : spdlog::level::info);
-}
-
 }  // namespace
 
 int main(int argc, char** argv) {
@@ -32,9 +19,12 @@
       "wrenusher: a cluster scheduler. Takes jobs from users, rents machines and decides what runs where."};
   std::string config;
   std::string tunables;
+  std::string log_format = "text";
   bool check = false;
   app.add_option("--config", config, "settings file (JSON) of this controller")->required();
   app.add_option("--tunables", tunables, "operators' own settings (YAML), all optional");
+  app.add_option("--log-format", log_format, "text, or json for one object a line")
+      ->check(CLI::IsMember({"text", "json"}));
   app.add_flag("--check", check, "read the settings, say whether they are valid, and exit");
   app.set_version_flag("--version", std::string("wrenusher ") + WRENUSHER_VERSION);
   try {
@@ -54,7 +44,8 @@
     std::cout << "settings are valid\n";
     return 0;
   }
-  set_up_log();
+  wrenusher::log::set_up("wrenusher",
+                         log_format == "json" ? wrenusher::log::Format::json : wrenusher::log::Format::text);
   try {
     wrenusher::net::UvRuntime runtime(settings.max_sockets);
     wrenusher::controller::Controller controller(runtime, settings);
@@ -66,7 +57,10 @@
                    [&](const wrenusher::base::Request& r, const wrenusher::base::Answer& a) {
                      controller.serve_peer(r, a);
                    });
-    spdlog::info("wrenusher {} starts as {} in zone {}", WRENUSHER_VERSION, settings.node, settings.zone);
+    wrenusher::log::info("starts", "wrenusher {version} starts as {node} in zone {zone}",
+                         wrenusher::log::with("version", WRENUSHER_VERSION),
+                         wrenusher::log::with("node", settings.node),
+                         wrenusher::log::with("zone", settings.zone));
     controller.start();
     runtime.run();
   } catch (const std::exception& e) {
--- /dev/null
+++ b/lab/live/include/wrenusher/lab/live_lab.hpp
@@ -0,0 +1,100 @@
+#pragma once
+// A lab on loopback: the models, and real controllers as children that are started again when they end.
+
+#include <uv.h>
+
+#include <stdexcept>
+
+#include "wrenusher/lab/cloud.hpp"
+#include "wrenusher/lab/live_wires.hpp"
+#include "wrenusher/lab/state_service.hpp"
+#include "wrenusher/lab/users.hpp"
+
+namespace wrenusher::lab {
+
+struct LabOptions {
+  Site site;
+  std::string wrenusher;  ///< path of the program
+  std::string data;       ///< folder that outlives the lab; empty: one of its own that goes with it
+  int controllers = 3;
+  int port = 7400;
+  double speed = 1;
+};
+
+/// What was asked of a lab cannot be done; what() is one line.
+struct LabError : std::runtime_error {
+  using std::runtime_error::runtime_error;
+};
+
+/// A program of the lab's that is called with this as its first argument hands the rest to run_child.
+inline constexpr const char* kChildFlag = "--child";
+/// Becomes the program that `args` names, to end when its parent does. Returns only on failure.
+int run_child(char** args);
+
+class LiveLab {
+ public:
+  /// Throws LabError (a port in use, no such program) and KeepDamaged.
+  LiveLab(net::UvRuntime& rt, LabOptions options);
+  ~LiveLab();
+  LiveLab(const LiveLab&) = delete;
+  LiveLab& operator=(const LiveLab&) = delete;
+
+  /// Where users ask, through the balancer.
+  Endpoint front() const { return loopback(options_.port); }
+  Endpoint control() const { return loopback(options_.port + 1); }
+  Endpoint client(int controller) const;
+  std::string log_of(int controller) const;
+  const LabOptions& options() const { return options_; }
+
+  /// The controller that leads, by the state service's record; empty when none does.
+  std::string leader() const;
+  bool ready() const { return !leader().empty(); }
+  std::uint64_t terms() const;
+  /// Ends of controllers so far, asked for or not.
+  int ends() const { return ends_; }
+
+  /// Troubles and work by hand: "kill c0", "cut c0 state", "heal", "outage state 10s", "take m-3 20s", "die
+  /// m-3", "hang m-3 10s", "submit builds 3", "withdraw req-100001". Says what was done; throws LabError.
+  std::string act(const std::vector<std::string>& words);
+  /// A new job of one of the site's classes; gives its name.
+  std::string submit(const std::string& queue);
+  void submit(const JobTruth& job) { users_.submit(job); }
+  void withdraw(const std::string& ref) { users_.withdraw(ref); }
+
+  const Users& users() const { return users_; }
+  Checker& checker() { return checker_; }
+  const Machines& machines() const { return machines_; }
+  Value status() const;
+
+  /// Ends the children and removes what is not to be kept; `done` when nothing is left.
+  void stop(std::function<void()> done);
+
+ private:
+  struct Child;
+  std::string settings_json(int i) const;
+  void open_ports();
+  void start_child(int i);
+  void child_ended(Child& c);
+  void serve_user(const Request& r, const Answer& answer);
+  void serve_control(const Request& r, const Answer& answer);
+  void watch_user(const Request& r, const base::Outcome& o);
+  int controller(const std::string& name) const;
+
+  net::UvRuntime& rt_;
+  LabOptions options_;
+  std::string folder_;
+  Checker checker_;
+  LiveWires wires_;
+  StateService state_;
+  Machines machines_;
+  Cloud cloud_;
+  Balancer balancer_;
+  Users users_;
+  std::vector<std::unique_ptr<Child>> children_;
+  int jobs_made_ = 0;
+  int ends_ = 0;
+  bool stopping_ = false;
+  std::function<void()> stopped_;
+};
+
+}  // namespace wrenusher::lab
--- /dev/null
+++ b/lab/live/include/wrenusher/lab/live_wires.hpp
@@ -0,0 +1,41 @@
+#pragma once
+// Package lab live: the lab's models in real time, on sockets of the loopback interface, with real
+// controllers as children. It owns the ports, the children and their files; it may depend on the models and
+// on net.
+
+#include "wrenusher/lab/wires.hpp"
+#include "wrenusher/net/net.hpp"
+
+namespace wrenusher::lab {
+
+class LiveWires : public Wires {
+ public:
+  /// Parties that ask for an address get ports from `first_port` on.
+  LiveWires(net::UvRuntime& rt, int first_port) : rt_(rt), next_port_(first_port) {}
+
+  Instant now() const override { return rt_.now(); }
+  void at(Micros delay, std::function<void()> f) override { rt_.after(delay, std::move(f)); }
+  std::mt19937_64& random() override { return rt_.random(); }
+  void send(const std::string& from, const Endpoint& to, Request request, Micros timeout, Done done) override;
+  std::optional<Endpoint> serve(const std::string& who, Handler handler) override;
+  void unserve(const Endpoint& at) override;
+
+  /// Throws std::runtime_error where the port is taken. Whoever asks there is believed to be `from`.
+  void serve_at(const Endpoint& at, const std::string& who, const std::string& from, Handler handler);
+  /// Where a party that is no model of ours listens.
+  void name(const Endpoint& at, const std::string& who) { names_[at] = who; }
+  /// The links are whole again, and what was held is delivered.
+  void heal();
+  Links links;
+
+ private:
+  net::UvRuntime& rt_;
+  int next_port_;
+  std::map<Endpoint, std::string> names_;
+  std::vector<std::function<void()>> held_;
+};
+
+/// "127.0.0.1:port".
+Endpoint loopback(int port);
+
+}  // namespace wrenusher::lab
--- /dev/null
+++ b/lab/live/live_lab.cpp
@@ -0,0 +1,526 @@
+#include "wrenusher/lab/live_lab.hpp"
+
+#include <fcntl.h>
+#include <signal.h>
+#include <sys/prctl.h>
+#include <sys/stat.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <filesystem>
+#include <fstream>
+#include <nlohmann/json.hpp>
+
+#include "wrenusher/lab/answers.hpp"
+
+namespace wrenusher::lab {
+
+namespace {
+
+constexpr Micros kBackAfter = from_seconds(1);
+constexpr Micros kUserWait = from_seconds(5);
+// Ports, from the lab's first: front door, control, then in tens what each controller needs.
+constexpr int kClients = 10;
+constexpr int kPeers = 20;
+constexpr int kStates = 30;
+constexpr int kClouds = 40;
+constexpr int kRelays = 50;  // ten for each controller
+constexpr int kMachines = 200;
+constexpr int kMostControllers = 9;
+
+std::string name_of(int i) {
+  return "c" + std::to_string(i);
+}
+
+std::string make_folder(const std::string& asked) {
+  if (!asked.empty()) {
+    std::error_code error;
+    std::filesystem::create_directories(asked, error);
+    if (error) throw LabError(asked + ": cannot be made: " + error.message());
+    return asked;
+  }
+  std::string name = (std::filesystem::temp_directory_path() / "wrenlab-XXXXXX").string();
+  if (mkdtemp(name.data()) == nullptr) throw LabError(name + ": no folder can be made there");
+  return name;
+}
+
+std::unique_ptr<Keep> make_keep(const LabOptions& o) {
+  if (o.data.empty()) return std::make_unique<MemoryKeep>();
+  return open_sqlite(o.data + "/state");
+}
+
+std::vector<Endpoint> client_ports(const LabOptions& o) {
+  std::vector<Endpoint> out;
+  for (int i = 0; i < o.controllers; ++i) out.push_back(loopback(o.port + kClients + i));
+  return out;
+}
+
+std::string words_of(const std::vector<std::string>& words) {
+  std::string out;
+  for (const std::string& w : words) out += (out.empty() ? "" : " ") + w;
+  return out;
+}
+
+}  // namespace
+
+struct LiveLab::Child {
+  LiveLab* lab = nullptr;
+  int number = 0;
+  uv_process_t process{};
+  bool running = false;
+  Micros back_after = kBackAfter;  ///< the next time that it ends
+};
+
+LiveLab::LiveLab(net::UvRuntime& rt, LabOptions options)
+    : rt_(rt),
+      options_(std::move(options)),
+      folder_(make_folder(options_.data)),
+      checker_(options_.site.settings),
+      wires_(rt, options_.port + kMachines),
+      state_(wires_,
+             {options_.site.settings.state_rps, options_.site.settings.state_write_rps,
+              options_.site.settings.value_kb, options_.site.settings.txn_ops},
+             make_keep(options_)),
+      machines_(wires_, options_.site, checker_, options_.speed),
+      cloud_(wires_, options_.site, machines_),
+      balancer_(wires_, client_ports(options_)),
+      users_(wires_, balancer_, machines_, checker_) {
+  if (options_.controllers < 1 || options_.controllers > kMostControllers)
+    throw LabError("--controllers: must be between 1 and " + std::to_string(kMostControllers));
+  if (access(options_.wrenusher.c_str(), X_OK) != 0)
+    throw LabError(options_.wrenusher +
+                   ": there is no program to run; build it, or name it with --wrenusher");
+  wires_.links.zone_of = [this](const std::string& name) -> std::string {
+    const auto& zones = options_.site.settings.zones;
+    for (int i = 0; i < options_.controllers; ++i) {
+      if (name == name_of(i)) return zones[static_cast<std::size_t>(i) % zones.size()];
+    }
+    return machines_.zone_of(name);
+  };
+  open_ports();
+  std::vector<std::pair<std::string, Endpoint>> nodes;
+  for (int i = 0; i < options_.controllers; ++i) {
+    nodes.emplace_back(name_of(i), client(i));
+    wires_.name(client(i), name_of(i));
+  }
+  machines_.controllers(std::move(nodes));
+  // What users uploaded before an earlier lab on this folder ended is still to be had.
+  for (const auto& [key, e] : state_.keys()) {
+    if (!key.starts_with("job/")) continue;
+    if (const auto spec = read_spec(e.value["spec"])) {
+      machines_.describe({*spec, {}, false});
+      checker_.submitted(*spec);
+    }
+  }
+  cloud_.furnish();
+  machines_.start();
+  for (int i = 0; i < options_.controllers; ++i) {
+    const std::string file = folder_ + "/" + name_of(i) + ".json";
+    std::ofstream out(file);
+    out << settings_json(i);
+    if (!out.flush()) throw LabError(file + ": cannot be written");
+    children_.push_back(std::make_unique<Child>());
+    children_.back()->lab = this;
+    children_.back()->number = i;
+    start_child(i);
+  }
+  balancer_.start();
+}
+
+LiveLab::~LiveLab() {
+  for (const auto& c : children_) {
+    if (c->running) uv_process_kill(&c->process, SIGKILL);
+  }
+  std::error_code ignored;
+  if (options_.data.empty()) std::filesystem::remove_all(folder_, ignored);
+}
+
+Endpoint LiveLab::client(int controller) const {
+  return loopback(options_.port + kClients + controller);
+}
+
+std::string LiveLab::log_of(int controller) const {
+  return folder_ + "/" + name_of(controller) + ".log";
+}
+
+/// Each controller has ports of its own to the state service, the cloud and its peers, so that the lab knows
+/// who asks and can cut one link and not another.
+void LiveLab::open_ports() {
+  try {
+    wires_.serve_at(front(), "front", "user",
+                    [this](const std::string&, const Request& r, const Answer& a) { serve_user(r, a); });
+    wires_.serve_at(control(), "control", "",
+                    [this](const std::string&, const Request& r, const Answer& a) { serve_control(r, a); });
+    for (int i = 0; i < options_.controllers; ++i) {
+      const std::string name = name_of(i);
+      wires_.serve_at(
+          loopback(options_.port + kStates + i), "state", name,
+          [this](const std::string& from, const Request& r, const Answer& a) { state_.serve(from, r, a); });
+      wires_.serve_at(
+          loopback(options_.port + kClouds + i), "cloud", name,
+          [this](const std::string& from, const Request& r, const Answer& a) { cloud_.serve(from, r, a); });
+      for (int k = 0; k < options_.controllers; ++k) {
+        if (k == i) continue;
+        wires_.serve_at(loopback(options_.port + kRelays + 10 * i + k), name_of(k), name,
+                        [this, k](const std::string&, const Request& r, const Answer& a) {
+                          rt_.fetch(loopback(options_.port + kPeers + k), r, from_seconds(4),
+                                    [a](const Outcome& o) {
+                                      a(o.answered ? o.response : Response{502, {}, 0});
+                                    });
+                        });
+      }
+    }
+  } catch (const std::runtime_error& e) {
+    throw LabError(std::string(e.what()) + "; another lab may be running, or name another --port");
+  }
+}
+
+std::string LiveLab::settings_json(int i) const {
+  using nlohmann::json;
+  const Settings& s = options_.site.settings;
+  const auto zone = [&](int k) { return s.zones[static_cast<std::size_t>(k) % s.zones.size()]; };
+  json peers = json::array();
+  for (int k = 0; k < options_.controllers; ++k) {
+    if (k != i)
+      peers.push_back({{"host_name", name_of(k)},
+                       {"zone", zone(k)},
+                       {"peer_addr", loopback(options_.port + kRelays + 10 * i + k)}});
+  }
+  json teams = json::array();
+  for (const auto& t : s.teams)
+    teams.push_back({{"name", t.name},
+                     {"cpus", t.cores},
+                     {"cpus_max", t.cores_max},
+                     {"gpus", t.cards},
+                     {"gpus_max", t.cards_max}});
+  json aims = json::array();
+  for (const auto& o : s.objectives) {
+    json aim = {{"kind", o.kind}, {"class", o.queue}, {"share", 0.9}, {"times", o.times}};
+    if (o.within.count() > 0) aim["within_s"] = to_seconds(o.within);
+    aims.push_back(std::move(aim));
+  }
+  const json all = {
+      {"host_name", name_of(i)},
+      {"zone", zone(i)},
+      {"client_listen", client(i)},
+      {"peer_listen", loopback(options_.port + kPeers + i)},
+      {"peers", peers},
+      {"services",
+       {{"cloud", loopback(options_.port + kClouds + i)}, {"state", loopback(options_.port + kStates + i)}}},
+      {"cluster",
+       {{"size", options_.controllers},
+        {"zones", s.zones},
+        {"teams", teams},
+        {"objectives", aims},
+        {"workers",
+         {{"report_s", to_seconds(s.report)},
+          {"lease_s", to_seconds(s.lease)},
+          {"gang_wait_s", to_seconds(s.gang_wait)},
+          {"gang_peer_s", to_seconds(s.gang_peer)},
+          {"cancel_s", to_seconds(s.cancel)}}},
+        {"state",
+         {{"rps", s.state_rps},
+          {"write_rps", s.state_write_rps},
+          {"value_kb", s.value_kb},
+          {"txn_ops", s.txn_ops}}},
+        {"cloud", {{"rps", s.cloud_rps}, {"list_lag_s", to_seconds(s.list_lag)}}},
+        {"limits", {{"max_sockets", s.max_sockets}}}}}};
+  return all.dump(2) + "\n";
+}
+
+// ---------------------------------------------------------------- children
+
+int run_child(char** args) {
+  prctl(PR_SET_PDEATHSIG, SIGKILL);
+  if (getppid() == 1) return 1;  // the lab has ended already
+  execv(args[0], args);
+  return 1;
+}
+
+void LiveLab::start_child(int i) {
+  Child& c = *children_[static_cast<std::size_t>(i)];
+  const std::string config = folder_ + "/" + name_of(i) + ".json";
+  const int log = open(log_of(i).c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0600);
+  if (log < 0) throw LabError(log_of(i) + ": cannot be written");
+  // By way of this program, so that it ends with the lab however the lab ends; see run_child.
+  std::string self = "/proc/self/exe";
+  std::string as_child = kChildFlag;
+  std::string program = options_.wrenusher;
+  std::string flag = "--config";
+  std::string file = config;
+  char* args[] = {self.data(), as_child.data(), program.data(), flag.data(), file.data(), nullptr};
+  uv_stdio_container_t stdio[3] = {};
+  stdio[0].flags = UV_IGNORE;
+  stdio[1].flags = UV_INHERIT_FD;
+  stdio[1].data.fd = log;
+  stdio[2] = stdio[1];
+  uv_process_options_t how{};
+  how.file = self.c_str();
+  how.args = args;
+  how.stdio = stdio;
+  how.stdio_count = 3;
+  how.exit_cb = [](uv_process_t* p, std::int64_t, int) {
+    auto* child = static_cast<Child*>(p->data);
+    uv_close(reinterpret_cast<uv_handle_t*>(p), [](uv_handle_t* h) {
+      auto* ended = static_cast<Child*>(h->data);
+      ended->lab->child_ended(*ended);
+    });
+    child->running = false;
+  };
+  c.process = {};
+  c.process.data = &c;
+  const int rc = uv_spawn(rt_.loop(), &c.process, &how);
+  ::close(log);
+  if (rc != 0) throw LabError(program + ": cannot be started: " + uv_strerror(rc));
+  c.running = true;
+}
+
+void LiveLab::child_ended(Child& c) {
+  ++ends_;
+  if (!stopping_) {
+    rt_.after(std::exchange(c.back_after, kBackAfter), [this, i = c.number] {
+      if (!stopping_) start_child(i);
+    });
+    return;
+  }
+  const bool left = std::any_of(children_.begin(), children_.end(), [](const auto& x) { return x->running; });
+  if (!left && stopped_) std::exchange(stopped_, nullptr)();
+}
+
+void LiveLab::stop(std::function<void()> done) {
+  stopping_ = true;
+  stopped_ = std::move(done);
+  bool any = false;
+  for (const auto& c : children_) {
+    if (!c->running) continue;
+    any = true;
+    uv_process_kill(&c->process, SIGKILL);
+  }
+  if (!any && stopped_) std::exchange(stopped_, nullptr)();
+}
+
+// ---------------------------------------------------------------- what it knows
+
+std::string LiveLab::leader() const {
+  const Entry* e = state_.find("leader");
+  const std::string* node = e == nullptr ? nullptr : e->value["node"].text();
+  return node == nullptr ? "" : *node;
+}
+
+std::uint64_t LiveLab::terms() const {
+  const Entry* e = state_.find("epoch");
+  return e == nullptr ? 0 : e->value["epoch"].count().value_or(0);
+}
+
+Value LiveLab::status() const {
+  Value::List controllers;
+  for (const auto& c : children_)
+    controllers.emplace_back(
+        Value::Map{{"name", name_of(c->number)}, {"running", c->running}, {"at", client(c->number)}});
+  Value::List broken;
+  for (const std::string& note : checker_.notes()) broken.emplace_back(note);
+  std::map<std::string, int> states;
+  for (const auto& [ref, job] : users_.jobs())
+    ++states[job.refused != 0 ? "refused" : job.state.empty() ? "sent" : job.state];
+  Value::Map jobs;
+  for (const auto& [state, n] : states) jobs.emplace_back(state, n);
+  return Value::Map{{"site", options_.site.name},
+                    {"leader", leader()},
+                    {"terms", terms()},
+                    {"controllers", std::move(controllers)},
+                    {"machines", static_cast<std::uint64_t>(machines_.up().size())},
+                    {"jobs", std::move(jobs)},
+                    {"keys", static_cast<std::uint64_t>(state_.count(""))},
+                    {"state_trouble", state_.trouble()},
+                    {"broken_rules", std::move(broken)}};
+}
+
+// ---------------------------------------------------------------- users from outside
+
+/// Any client may ask here; what it is told is watched like what the lab's own users are told.
+void LiveLab::serve_user(const Request& r, const Answer& answer) {
+  if (r.method == "POST" && r.target == "/submissions") {
+    // Users upload the description to where workers fetch it.
+    const auto v = decode(r.body);
+    if (const auto spec = v ? read_spec(*v) : std::nullopt) {
+      machines_.describe({*spec, {}, false});
+      checker_.submitted(*spec);
+    }
+  }
+  if (r.target.ends_with("/withdraw")) checker_.asked_withdraw(r.target.substr(13, r.target.size() - 22));
+  balancer_.send(r, kUserWait, [this, r, answer](const Outcome& o) {
+    watch_user(r, o);
+    answer(o.answered ? o.response : Response{503, {}, 1});
+  });
+}
+
+void LiveLab::watch_user(const Request& r, const base::Outcome& o) {
+  if (!o.answered || !r.target.starts_with("/submissions")) return;
+  const auto v = decode(o.response.body);
+  const std::string state = v && (*v)["status"].text() != nullptr ? *(*v)["status"].text() : "";
+  if (r.method == "POST" && r.target == "/submissions") {
+    const auto body = decode(r.body);
+    if (body && (*body)["ref"].text() != nullptr)
+      checker_.answered_submit(rt_.now(), *(*body)["ref"].text(), o.response.status);
+  } else if (r.target.ends_with("/withdraw")) {
+    checker_.answered_withdraw(rt_.now(), r.target.substr(13, r.target.size() - 22), o.response.status,
+                               state);
+  } else if (r.target.size() > 13) {
+    checker_.answered_poll(rt_.now(), r.target.substr(13), o.response.status, state);
+  }
+}
+
+// ---------------------------------------------------------------- by hand
+
+int LiveLab::controller(const std::string& name) const {
+  const std::string who = name == "leader" ? leader() : name;
+  for (int i = 0; i < options_.controllers; ++i) {
+    if (who == name_of(i)) return i;
+  }
+  return -1;
+}
+
+std::string LiveLab::submit(const std::string& queue) {
+  const auto& classes = options_.site.classes;
+  const auto c =
+      std::find_if(classes.begin(), classes.end(), [&](const JobClass& x) { return x.name == queue; });
+  if (c == classes.end()) {
+    std::string names;
+    for (const JobClass& x : classes) names += (names.empty() ? "" : ", ") + x.name;
+    throw LabError("no class '" + queue + "' at this site (there are: " + names + ")");
+  }
+  JobTruth j = draw_job(
+      options_.site, *c,
+      static_cast<int>(rt_.wall().time_since_epoch() / from_seconds(1) % 1000000) * 100 + ++jobs_made_,
+      rt_.random());
+  users_.submit(j);
+  return j.spec.ref;
+}
+
+std::string LiveLab::act(const std::vector<std::string>& words) {
+  const auto word = [&](std::size_t i) -> const std::string& {
+    if (i >= words.size()) throw LabError("'" + words_of(words) + "': something is missing behind it");
+    return words[i];
+  };
+  const auto time = [&](std::size_t i, const char* otherwise) {
+    const std::string& text = i < words.size() ? words[i] : otherwise;
+    const auto d = parse_duration(text);
+    if (!d) throw LabError("'" + text + "' is no time with its unit, like 10s");
+    return *d;
+  };
+  const std::string& verb = word(0);
+  const auto machine = [&]() -> const std::string& {
+    const auto up = machines_.up();
+    if (std::find(up.begin(), up.end(), word(1)) == up.end())
+      throw LabError("no machine " + word(1) + " is up");
+    return words[1];
+  };
+  if (verb == "kill") {
+    const int c = controller(word(1));
+    if (c < 0 || !children_[static_cast<std::size_t>(c)]->running)
+      throw LabError("no controller " + word(1) + " is running");
+    Child& child = *children_[static_cast<std::size_t>(c)];
+    child.back_after = time(2, "1s");
+    uv_process_kill(&child.process, SIGKILL);
+    char back[32];
+    std::snprintf(back, sizeof back, "%g s", to_seconds(child.back_after));
+    return name_of(c) + " is killed and is started again after " + back;
+  }
+  if (verb == "cut") {
+    const Cut how = words.size() > 3 && words[3] == "reset" ? Cut::reset : Cut::hold;
+    if (word(2) == "all") {
+      std::vector<std::string> others{"state", "cloud", "user", ""};
+      for (int i = 0; i < options_.controllers; ++i) others.push_back(name_of(i));
+      for (const std::string& m : machines_.up()) others.push_back(m);
+      for (const std::string& o : others) {
+        if (o != words[1]) wires_.links.cut(words[1], o, how);
+      }
+    } else if (word(1) == "zone") {
+      wires_.links.cut_zone(words[2], how);
+    } else {
+      wires_.links.cut(words[1], words[2], how);
+    }
+    return words[1] + " and " + words[2] + " are cut off from each other until healed";
+  }
+  if (verb == "heal") {
+    wires_.heal();
+    state_.outage(false);
+    cloud_.outage(false);
+    for (int i = 0; i < options_.controllers; ++i) state_.refuse(name_of(i), false);
+    return "all links, the state service and the cloud are whole again";
+  }
+  if (verb == "outage") {
+    const Micros d = time(2, "10s");
+    if (word(1) == "state") {
+      state_.outage(true);
+      rt_.after(d, [this] { state_.outage(false); });
+    } else if (words[1] == "cloud") {
+      cloud_.outage(true);
+      rt_.after(d, [this] { cloud_.outage(false); });
+    } else if (const int c = controller(words[1]); c >= 0) {
+      state_.refuse(name_of(c), true);
+      rt_.after(d, [this, c] { state_.refuse(name_of(c), false); });
+    } else {
+      throw LabError("outage of 'state', 'cloud' or a controller, not '" + words[1] + "'");
+    }
+    return words[1] + " has an outage";
+  }
+  if (verb == "take") {
+    machines_.take(machine(), time(2, "20s"));
+    return words[1] + " will be taken back, if it is a spot machine";
+  }
+  if (verb == "die") {
+    machines_.die(machine());
+    return words[1] + " has stopped with all that was on it";
+  }
+  if (verb == "hang") {
+    machines_.hang(machine(), time(2, "10s"));
+    return words[1] + " hangs";
+  }
+  if (verb == "submit") {
+    const int n = words.size() > 2 ? std::atoi(words[2].c_str()) : 1;
+    if (n < 1 || n > 1000) throw LabError("between 1 and 1000 jobs at a time, not '" + words[2] + "'");
+    std::string refs;
+    for (int i = 0; i < n; ++i) refs += (refs.empty() ? "" : " ") + submit(word(1));
+    return "submitted " + refs;
+  }
+  if (verb == "withdraw") {
+    if (!users_.jobs().contains(word(1))) throw LabError("no job " + words[1] + " was submitted by this lab");
+    users_.withdraw(words[1]);
+    return "asked to withdraw " + words[1];
+  }
+  if (verb == "jobs") {
+    std::string out;
+    for (const auto& [ref, job] : users_.jobs())
+      out += ref + "  " + machines_.job(ref)->spec.queue + "  " +
+             (job.refused != 0    ? "refused"
+              : job.state.empty() ? "sent"
+                                  : job.state) +
+             "\n";
+    return out.empty() ? "no job was submitted by this lab yet" : out.substr(0, out.size() - 1);
+  }
+  throw LabError("'" + verb +
+                 "' is none of kill, cut, heal, outage, take, die, hang, submit, withdraw, jobs");
+}
+
+void LiveLab::serve_control(const Request& r, const Answer& answer) {
+  if (r.method == "GET" && r.target == "/status") {
+    answer(reply(200, status()));
+    return;
+  }
+  const auto v = decode(r.body);
+  const Value::List* list = v ? (*v)["words"].list() : nullptr;
+  if (r.method != "POST" || r.target != "/act" || list == nullptr || list->empty()) {
+    answer(malformed("GET /status, or POST /act with a list of words"));
+    return;
+  }
+  std::vector<std::string> words;
+  for (const Value& w : *list) words.push_back(w.text() != nullptr ? *w.text() : "");
+  try {
+    answer(reply(200, Value::Map{{"said", act(words)}}));
+  } catch (const LabError& e) {
+    answer(malformed(e.what()));
+  }
+}
+
+}  // namespace wrenusher::lab
--- a/lab/models/include/wrenusher/lab/state_service.hpp
+++ b/lab/models/include/wrenusher/lab/state_service.hpp
@@ -33,6 +33,7 @@
   /// What it knows, for whoever looks from outside the world.
   const Entry* find(const std::string& key) const;
   std::size_t count(const std::string& prefix) const;
+  const std::map<std::string, Entry>& keys() const { return keys_; }
   const std::map<std::string, std::uint64_t>& requests() const { return requests_; }
   std::uint64_t writes() const { return writes_; }
   std::uint64_t refusals() const { return refusals_; }
--- /dev/null
+++ b/lab/models/verdict.cpp
@@ -0,0 +1,42 @@
+#include "wrenusher/lab/verdict.hpp"
+
+#include <cstdio>
+
+namespace wrenusher::lab {
+
+Verdict judge(const Users& users, const Machines& machines, const Checker& checker) {
+  Verdict v;
+  for (const auto& [ref, job] : users.jobs()) {
+    const JobSpec& spec = machines.job(ref)->spec;
+    Verdict::Row row{ref, spec.queue, spec.units, job.state, Micros{0}, false};
+    if (job.refused != 0) row.state = "refused (" + std::to_string(job.refused) + ")";
+    if (row.state.empty()) row.state = job.accepted == Instant{} ? "not accepted" : "accepted";
+    const bool over = job.over != Instant{};
+    if (over) row.took = job.over - job.submitted;
+    row.lost = !over;
+    v.lost += row.lost ? 1 : 0;
+    v.rows.push_back(std::move(row));
+  }
+  v.broken = checker.notes();
+  if (checker.starts() == 0) v.broken.push_back("nothing_ran: no task was started");
+  v.good = v.lost == 0 && v.broken.empty();
+  return v;
+}
+
+std::string table(const Verdict& v) {
+  std::string out = "job             class       tasks  state             after\n";
+  char line[200];
+  for (const Verdict::Row& r : v.rows) {
+    char took[32] = "-";
+    if (r.took.count() > 0) std::snprintf(took, sizeof took, "%.1f s", to_seconds(r.took));
+    std::snprintf(line, sizeof line, "%-15s %-10s %6u  %-16s %7s%s\n", r.ref.c_str(), r.queue.c_str(),
+                  r.tasks, r.state.c_str(), took, r.lost ? "  LOST" : "");
+    out += line;
+  }
+  for (const std::string& b : v.broken) out += "BROKEN " + b + "\n";
+  std::snprintf(line, sizeof line, "%zu jobs, %zu lost, %zu rules broken\n", v.rows.size(), v.lost,
+                v.broken.size());
+  return out + line;
+}
+
+}  // namespace wrenusher::lab
--- /dev/null
+++ b/lab/sim/day.cpp
@@ -0,0 +1,292 @@
+#include "wrenusher/lab/day.hpp"
+
+#include <boost/histogram.hpp>
+#include <cmath>
+#include <cstdio>
+#include <nlohmann/json.hpp>
+
+#include "wrenusher/lab/world.hpp"
+
+namespace wrenusher::lab {
+
+namespace {
+
+namespace bh = boost::histogram;
+
+/// Times from a hundredth of a second to a day, in steps of 2.5%.
+class Times {
+ public:
+  void add(Micros t) { h_(std::max(to_seconds(t), 0.01)); }
+  double count() const { return bh::algorithm::sum(h_, bh::coverage::all); }
+  /// Of the times that were added; 0 where there are none.
+  double quantile(double q) const {
+    const double all = count();
+    double seen = 0;
+    for (const auto& cell : bh::indexed(h_, bh::coverage::all)) {
+      seen += *cell;
+      if (all > 0 && seen >= q * all) return std::min(cell.bin().center(), 86400.0);
+    }
+    return 0;
+  }
+  double below(Micros t) const {
+    double in = 0;
+    for (const auto& cell : bh::indexed(h_, bh::coverage::all)) {
+      if (cell.bin().upper() <= to_seconds(t) * 1.0125) in += *cell;
+    }
+    return count() > 0 ? in / count() : 0;
+  }
+
+ private:
+  using Axis = bh::axis::regular<double, bh::axis::transform::log>;
+  decltype(bh::make_histogram(Axis(640, 0.01, 86400.0))) h_ = bh::make_histogram(Axis(640, 0.01, 86400.0));
+};
+
+struct ClassTally {
+  double jobs = 0;
+  double over = 0;
+  double refused = 0;
+  double with_due = 0;
+  double in_time = 0;
+  double in_half_more = 0;
+  double tasks = 0;
+  Times waits;     ///< of each task, from the submission to its first start
+  Times finishes;  ///< of each job, until its user was told
+};
+
+/// All jobs of the day are drawn before it begins, from the seed alone: two days of one seed have the same
+/// work, whatever else differs between them.
+void arrivals(World& w, const Site& site, std::uint64_t seed) {
+  std::mt19937_64 random(seed * 0x9e3779b97f4a7c15ULL + 1);
+  const auto uniform = [&](double a, double b) {
+    return std::uniform_real_distribution<double>(a, b)(random);
+  };
+  int number = 0;
+  for (const JobClass& c : site.classes) {
+    const auto one = [&](double at) {
+      const JobTruth j = draw_job(site, c, ++number, random);
+      w.at(from_seconds(at), [&w, j] { w.submit(j); });
+      if (uniform(0, 1) < c.withdrawn)
+        w.at(from_seconds(at + uniform(1, 60)), [&w, ref = j.spec.ref] { w.withdraw(ref); });
+    };
+    for (int i = 0; i < c.at_start; ++i) one(uniform(0, 2));
+    if (c.per_minute <= 0) continue;
+    for (double t = 0;;) {
+      t += std::exponential_distribution<double>(c.per_minute / 60)(random);
+      if (t >= to_seconds(site.length)) break;
+      one(t);
+    }
+  }
+}
+
+void troubles(World& w, const Site& site) {
+  for (const TroubleSpec& t : site.troubles) {
+    for (Micros at = t.at; at < site.length; at += t.every) {
+      w.at(at, [&w, &t] { w.strike(t); });
+      if (t.every.count() == 0) break;
+    }
+  }
+}
+
+}  // namespace
+
+DayResult play_day(const Site& site, std::uint64_t seed) {
+  World w(seed, site);
+  std::map<std::string, ClassTally> classes;
+  for (const JobClass& c : site.classes) classes[c.name];
+  std::set<std::pair<std::string, std::uint32_t>> started;
+  w.machines().on_start = [&](const std::string& ref, std::uint32_t task) {
+    const auto job = w.users().jobs().find(ref);
+    if (job == w.users().jobs().end() || !started.insert({ref, task}).second) return;
+    classes[w.machines().job(ref)->spec.queue].waits.add(w.now() - job->second.submitted);
+  };
+  arrivals(w, site, seed);
+  troubles(w, site);
+  w.run(site.length);
+
+  DayResult out;
+  out.seed = seed;
+  double due_all = 0;
+  for (const auto& [ref, job] : w.users().jobs()) {
+    const JobSpec& spec = w.machines().job(ref)->spec;
+    ClassTally& c = classes[spec.queue];
+    ++c.jobs;
+    c.tasks += spec.units;
+    const bool over = job.over != Instant{};
+    if (job.refused != 0) {
+      ++c.refused;
+    } else if (over && job.state == "done") {
+      ++c.over;
+      c.finishes.add(job.over - job.submitted);
+    }
+    // A deadline that the day does not reach says nothing.
+    if (!spec.due || job.state == "withdrawn" || job.refused != 0 ||
+        w.now() - job.submitted < *spec.due * 3 / 2)
+      continue;
+    ++c.with_due;
+    ++due_all;
+    const bool done = over && job.state == "done";
+    if (done && job.over - job.submitted <= *spec.due) ++c.in_time;
+    if (done && job.over - job.submitted <= *spec.due * 3 / 2) ++c.in_half_more;
+  }
+  Figures& f = out.figures;
+  for (const auto& [name, c] : classes) {
+    f[name + ".jobs"] = c.jobs;
+    f[name + ".tasks"] = c.tasks;
+    f[name + ".done"] = c.over;
+    f[name + ".wait_p50"] = c.waits.quantile(0.5);
+    f[name + ".wait_p95"] = c.waits.quantile(0.95);
+    f[name + ".finish_p50"] = c.finishes.quantile(0.5);
+    f[name + ".finish_p95"] = c.finishes.quantile(0.95);
+    if (c.with_due > 0) {
+      f[name + ".in_time"] = c.in_time / c.with_due;
+      f[name + ".in_half_more"] = c.in_half_more / c.with_due;
+    }
+  }
+  for (const auto& o : site.settings.objectives) {
+    const auto c = classes.find(o.queue);
+    if (c == classes.end() || o.within.count() == 0) continue;
+    const Times& t = o.kind == "wait" ? c->second.waits : c->second.finishes;
+    f[o.queue + "." + o.kind + "_within"] = t.below(o.within);
+  }
+  f["core_seconds_done"] = w.machines().work().done;
+  f["core_seconds_lost"] = w.machines().work().lost;
+  f["money"] = w.machines().cost();
+  f["machines_rented"] = static_cast<double>(w.cloud().rented());
+  f["state_writes"] = static_cast<double>(w.state().writes());
+  std::uint64_t requests = 0;
+  for (const auto& [who, n] : w.state().requests()) requests += n;
+  f["state_requests"] = static_cast<double>(requests);
+  f["state_refusals"] = static_cast<double>(w.state().refusals());
+  f["cloud_requests"] = static_cast<double>(w.cloud().requests());
+  f["takeovers"] = static_cast<double>(w.terms()) - 1;
+  f["starts"] = static_cast<double>(w.checker.starts());
+  f["rules_broken"] = static_cast<double>(w.checker.notes().size());
+  out.broken = w.checker.notes();
+  return out;
+}
+
+namespace {
+
+double mean(const std::vector<DayResult>& days, const std::string& name, bool& any) {
+  double sum = 0;
+  double n = 0;
+  for (const DayResult& d : days) {
+    const auto it = d.figures.find(name);
+    if (it == d.figures.end()) continue;
+    sum += it->second;
+    ++n;
+  }
+  any = n > 0;
+  return n > 0 ? sum / n : 0;
+}
+
+std::string cell(const std::vector<DayResult>& days, const std::string& name, const char* how) {
+  bool any = false;
+  const double x = mean(days, name, any);
+  char text[32] = "-";
+  if (any) std::snprintf(text, sizeof text, how, x);
+  return text;
+}
+
+}  // namespace
+
+std::string day_table(const Site& site, const std::vector<DayResult>& days) {
+  char line[300];
+  std::snprintf(line, sizeof line, "site %s, %.0f s, %zu day%s, simulated\n", site.name.c_str(),
+                to_seconds(site.length), days.size(), days.size() == 1 ? "" : "s, means");
+  std::string out = line;
+  out += "class             jobs   tasks    done  wait p50   p95  finish p50   p95  in time  1.5x\n";
+  for (const JobClass& c : site.classes) {
+    const auto of = [&](const char* what, const char* how) { return cell(days, c.name + "." + what, how); };
+    std::snprintf(line, sizeof line, "%-14s %7s %7s %7s  %8s %5s  %10s %5s  %7s %5s\n", c.name.c_str(),
+                  of("jobs", "%.0f").c_str(), of("tasks", "%.0f").c_str(), of("done", "%.0f").c_str(),
+                  of("wait_p50", "%.1f").c_str(), of("wait_p95", "%.1f").c_str(),
+                  of("finish_p50", "%.1f").c_str(), of("finish_p95", "%.1f").c_str(),
+                  of("in_time", "%.3f").c_str(), of("in_half_more", "%.3f").c_str());
+    out += line;
+  }
+  const auto total = [&](const char* name, const char* how) { return cell(days, name, how); };
+  out += "work done " + total("core_seconds_done", "%.0f") + " core s, done again " +
+         total("core_seconds_lost", "%.0f") + "; money " + total("money", "%.2f") + "; machines rented " +
+         total("machines_rented", "%.0f") + "\n";
+  out += "state service " + total("state_requests", "%.0f") + " requests, " + total("state_writes", "%.0f") +
+         " changes, " + total("state_refusals", "%.0f") + " refused; cloud " +
+         total("cloud_requests", "%.0f") + " requests; takeovers " + total("takeovers", "%.1f") + "\n";
+  std::size_t broken = 0;
+  for (const DayResult& d : days) {
+    for (const std::string& b : d.broken) {
+      if (++broken <= 20) out += "BROKEN (seed " + std::to_string(d.seed) + ") " + b + "\n";
+    }
+  }
+  return out + (broken == 0 ? "no rule broken\n" : std::to_string(broken) + " rules broken\n");
+}
+
+nlohmann::json day_json(const Site& site, const std::vector<DayResult>& days) {
+  nlohmann::json list = nlohmann::json::array();
+  for (const DayResult& d : days)
+    list.push_back({{"seed", d.seed}, {"figures", d.figures}, {"broken", d.broken}});
+  return {{"site", site.name}, {"seconds", to_seconds(site.length)}, {"days", std::move(list)}};
+}
+
+std::vector<DayResult> read_days(const std::string& text, const std::string& file) {
+  try {
+    std::vector<DayResult> out;
+    const nlohmann::json all = nlohmann::json::parse(text);
+    for (const auto& d : all.at("days"))
+      out.push_back({d.at("seed").get<std::uint64_t>(), d.at("figures").get<Figures>(),
+                     d.at("broken").get<std::vector<std::string>>()});
+    return out;
+  } catch (const nlohmann::json::exception& e) {
+    throw SiteError(file + ": not what 'wrenlab day --json' writes: " + e.what());
+  }
+}
+
+Comparison compare_days(const std::vector<DayResult>& a, const std::vector<DayResult>& b) {
+  Comparison out;
+  std::map<std::string, std::vector<std::pair<double, double>>> pairs;
+  for (const DayResult& x : a) {
+    for (const DayResult& y : b) {
+      if (x.seed != y.seed) continue;
+      ++out.pairs;
+      for (const auto& [name, value] : x.figures) {
+        if (const auto it = y.figures.find(name); it != y.figures.end())
+          pairs[name].emplace_back(value, it->second);
+      }
+    }
+  }
+  for (const auto& [name, list] : pairs) {
+    const auto n = static_cast<double>(list.size());
+    double before = 0;
+    double after = 0;
+    for (const auto& [x, y] : list) {
+      before += x / n;
+      after += y / n;
+    }
+    double square = 0;
+    for (const auto& [x, y] : list) square += std::pow(y - x - (after - before), 2);
+    // Of one pair nothing can be said of the spread.
+    const double spread = n > 1 ? 2 * std::sqrt(square / (n - 1) / n) : std::abs(after - before);
+    if (std::abs(after - before) > spread) {
+      out.moved.push_back({name, before, after, spread});
+    } else {
+      ++out.same;
+    }
+  }
+  return out;
+}
+
+std::string comparison_table(const Comparison& c) {
+  char line[200];
+  std::string out;
+  if (!c.moved.empty()) out = "figure                          before       after  difference  spread\n";
+  for (const Moved& m : c.moved) {
+    std::snprintf(line, sizeof line, "%-28s %9.3f   %9.3f   %+9.3f  %6.3f\n", m.name.c_str(), m.before,
+                  m.after, m.after - m.before, m.spread);
+    out += line;
+  }
+  std::snprintf(line, sizeof line, "%zu pairs of days; %zu figures moved beyond their spread, %zu did not\n",
+                c.pairs, c.moved.size(), c.same);
+  return out + line;
+}
+
+}  // namespace wrenusher::lab
--- a/lab/sim/include/wrenusher/lab/world.hpp
+++ b/lab/sim/include/wrenusher/lab/world.hpp
@@ -73,6 +73,7 @@
   Instant now() const { return wires_.now(); }
   double uniform(double a, double b) { return wires_.uniform(a, b); }
   int pick(int n) { return wires_.pick(n); }
+  std::mt19937_64& random() { return wires_.random(); }
 
   // Users
   void submit(const JobSpec& spec) { users_.submit({spec, {}, false}); }
--- a/src/accounts/accounts.cpp
+++ b/src/accounts/accounts.cpp
@@ -1,6 +1,6 @@
 #include "wrenusher/accounts/accounts.hpp"
 
-#include <spdlog/spdlog.h>
+#include "wrenusher/log/log.hpp"
 
 namespace wrenusher::accounts {
 
@@ -18,9 +18,14 @@
   next_ = now + kEvery;
   for (const auto& [queue, q] : queues_) {
     const auto mean = [](Micros sum, std::uint32_t n) { return n == 0 ? 0 : to_seconds(sum) / n; };
-    spdlog::info("{}: {} starts, order {:.1f} s, {:.0f}% fetched {:.1f} s, gathered {:.1f} s", queue,
-                 q.starts, mean(q.sum.ordered, q.starts), 100.0 * q.fetches / q.starts,
-                 mean(q.sum.fetched, q.fetches), mean(q.sum.gathered, q.starts));
+    log::info("waits",
+              "{queue}: {starts} starts, order {order:.1f} s, {fetches:.0f}% fetched {fetch:.1f} s, gathered "
+              "{gathered:.1f} s",
+              log::with("queue", queue), log::with("starts", q.starts),
+              log::with("order", mean(q.sum.ordered, q.starts)),
+              log::with("fetches", 100.0 * q.fetches / q.starts),
+              log::with("fetch", mean(q.sum.fetched, q.fetches)),
+              log::with("gathered", mean(q.sum.gathered, q.starts)));
   }
   queues_.clear();
 }
@@ -59,11 +64,13 @@
   for (const auto& [kind, s] : kinds_) {
     if (s.total() <= 0) continue;
     const double percent = 100 / s.total();
-    spdlog::info(
-        "spent {:.2f} on {} {}: run {:.0f}%, fetch and wait {:.0f}%, spare {:.0f}%, idle {:.0f}%, boot "
-        "{:.0f}%",
-        s.total(), kind.second ? "spot" : "ordinary", kind.first, s.run * percent, s.wait * percent,
-        s.spare * percent, s.idle * percent, s.boot * percent);
+    log::info("spent",
+              "spent {money:.2f} on {kind} {type}: run {run:.0f}%, fetch and wait {wait:.0f}%, spare "
+              "{spare:.0f}%, idle {idle:.0f}%, boot {boot:.0f}%",
+              log::with("money", s.total()), log::with("kind", kind.second ? "spot" : "ordinary"),
+              log::with("type", kind.first), log::with("run", s.run * percent),
+              log::with("wait", s.wait * percent), log::with("spare", s.spare * percent),
+              log::with("idle", s.idle * percent), log::with("boot", s.boot * percent));
   }
   kinds_.clear();
 }
--- a/src/book/book.cpp
+++ b/src/book/book.cpp
@@ -1,9 +1,9 @@
 #include "wrenusher/book/book.hpp"
 
-#include <spdlog/spdlog.h>
-
 #include <algorithm>
 
+#include "wrenusher/log/log.hpp"
+
 namespace wrenusher::book {
 
 bool Job::holds(std::uint32_t task, const Machine& m, std::uint64_t attempt) const {
@@ -178,7 +178,8 @@
 }
 
 void Book::release(Job& job, std::uint32_t task, const char* why) {
-  spdlog::debug("task {} is off its machine: {}", unit_name(job.spec().ref, task), why);
+  log::debug("task_off", "task {task} is off its machine: {reason}",
+             log::with("task", unit_name(job.spec().ref, task)), log::with("reason", why));
   unclaim(job, task);
   if (job.rec.withdrawn) return;
   if (!job.done.contains(task)) job.waiting.add(task);
@@ -217,7 +218,8 @@
 void Book::withdraw(Job& job) {
   job.rec.withdrawn = true;
   job.waiting = {};
-  spdlog::info("job {} is withdrawn, {} tasks to stop", job.spec().ref, job.claims.size());
+  log::info("job_withdrawn", "job {job} is withdrawn, {tasks} tasks to stop",
+            log::with("job", job.spec().ref), log::with("tasks", job.claims.size()));
   check_over(job);
   ++news_;
 }
--- a/src/desk/frontdesk.cpp
+++ b/src/desk/frontdesk.cpp
@@ -1,10 +1,10 @@
 #include "wrenusher/desk/frontdesk.hpp"
 
-#include <spdlog/spdlog.h>
-
 #include <algorithm>
 #include <tuple>
 
+#include "wrenusher/base/refusal.hpp"
+#include "wrenusher/log/log.hpp"
 #include "wrenusher/records/records.hpp"
 
 namespace wrenusher::desk {
@@ -20,8 +20,28 @@
 /// Questions that wait for a comparison; what is over is refused at once.
 constexpr std::size_t kMostChecks = 500;
 
-Response later(int seconds = 1) {
-  return {503, {}, seconds};
+constexpr int kSoon = 1;
+
+/// The state service gave no answer, or none that this can be decided by.
+Response no_state() {
+  return refuse({503, "state_unreachable", "The state service gives no answer at present.", "", kSoon});
+}
+
+Response busy() {
+  return refuse({503, "busy", "Too many questions wait here at present.", "", kSoon});
+}
+
+Response unknown_job(const std::string& ref) {
+  return refuse({404, "unknown_job", "No job of this name has been accepted.", ref, 0});
+}
+
+Response no_such_path() {
+  return refuse(
+      {404, "no_such_path", "There is /submissions, /submissions/{ref}, its /withdraw, and /ready.", "", 0});
+}
+
+Response wrong_method(const char* right) {
+  return refuse({405, "wrong_method", std::string("This is asked with ") + right + ".", "", 0});
 }
 
 Response status_response(int code, const std::string& ref, const std::string& status) {
@@ -55,39 +75,41 @@
   const std::string path = request.target.substr(0, request.target.find('?'));
   if (path == "/ready") {
     if (request.method != "GET") {
-      answer({405, {}, 0});
+      answer(wrong_method("GET"));
     } else {
-      answer(ready() ? Response{200, {}, 0} : later());
+      answer(ready() ? Response{200, {}, 0}
+                     : refuse({503, "not_ready", "A peer has the state service and this node has not.", "",
+                               kSoon}));
     }
     return;
   }
   static const std::string base = "/submissions";
   if (path == base) {
     if (request.method != "POST") {
-      answer({405, {}, 0});
+      answer(wrong_method("POST"));
     } else {
       submit(request, answer);
     }
     return;
   }
   if (!path.starts_with(base + "/")) {
-    answer({404, {}, 0});
+    answer(no_such_path());
     return;
   }
   std::string ref = path.substr(base.size() + 1);
   bool cancel = false;
   if (const auto slash = ref.find('/'); slash != std::string::npos) {
     if (ref.substr(slash) != "/withdraw") {
-      answer({404, {}, 0});
+      answer(no_such_path());
       return;
     }
     cancel = true;
     ref.resize(slash);
   }
   if (!valid_ref(ref)) {
-    answer({404, {}, 0});
+    answer(unknown_job(ref));
   } else if (request.method != (cancel ? "POST" : "GET")) {
-    answer({405, {}, 0});
+    answer(wrong_method(cancel ? "POST" : "GET"));
   } else if (cancel) {
     withdraw(ref, kWithdrawTries, answer);
   } else {
@@ -134,7 +156,7 @@
   } else if (!known_.contains(ref)) {
     read(ref, done);
   } else if (checks_.size() >= kMostChecks) {
-    done({});
+    done(Found{true, std::nullopt, true});
   } else {
     checks_.push_back({ref, std::move(done)});
     if (checking_) return;
@@ -223,7 +245,7 @@
 void Frontdesk::known_or(const std::string& ref, Response otherwise, const Answer& answer) {
   lookup(ref, [ref, otherwise = std::move(otherwise), answer](const Found& f) {
     if (f.failed) {
-      answer(later());
+      answer(f.busy ? busy() : no_state());
     } else if (f.state) {
       answer(status_response(200, ref, f.state->status));
     } else {
@@ -235,62 +257,72 @@
 void Frontdesk::submit(const Request& request, const Answer& answer) {
   const auto v = decode(request.body);
   if (!v || v->map() == nullptr) {
-    answer({400, {}, 0});
+    answer(refuse({400, "not_a_map", "The body must be one CBOR map keyed by text.", "", 0}));
     return;
   }
+  Fault fault;
+  const auto spec = read_spec(*v, &fault);
+  const auto bad_field = [&] {
+    return refuse({400, "bad_field", fault.field + " " + fault.what + ".", fault.field, 0});
+  };
   const std::string* ref = (*v)["ref"].text();
   if (ref == nullptr || !valid_ref(*ref)) {
-    answer({400, {}, 0});
+    answer(bad_field());
     return;
   }
-  const auto spec = read_spec(*v);
   if (!spec) {
-    known_or(*ref, {400, {}, 0}, answer);
+    known_or(*ref, bad_field(), answer);
     return;
   }
   const Team* team = settings_.team(spec->owner);
   if (!catalog_ && team != nullptr) {
-    known_or(*ref, later(2), answer);
+    known_or(*ref, refuse({503, "types_unknown", "The cloud has not told its machine types yet.", "", 2}),
+             answer);
     return;
   }
-  if (const std::string why = never_runs(*spec, catalog_ ? *catalog_ : Catalog{}, team); !why.empty()) {
-    spdlog::info("submission {} can never run: {}", *ref, why);
-    known_or(*ref, {422, {}, 0}, answer);
+  if (const auto why = never_runs(*spec, catalog_ ? *catalog_ : Catalog{}, team)) {
+    log::info("submission_refused", "submission {job} can never run: {reason}", log::with("job", *ref),
+              log::with("reason", why->what), log::with("field", why->field));
+    known_or(*ref, refuse({422, "never_runs", "The job can never run: " + why->what + ".", why->field, 0}),
+             answer);
     return;
   }
   const Value record = records::new_job(*spec, rt_.wall(), records::block_size(settings_.value_kb));
   if (record.json_size() > static_cast<std::size_t>(settings_.value_kb * 1024)) {
-    known_or(*ref, {400, {}, 0}, answer);
+    known_or(
+        *ref,
+        refuse({400, "too_large", "The description is larger than the state service takes.", "flavors", 0}),
+        answer);
     return;
   }
-  store_.commit({{records::job_key(*ref), 0}, {records::end_key(*ref), 0}},
-                {{records::job_key(*ref), record, 0}}, Store::Urgent::user,
-                [this, id = *ref, answer](const Commit& c) {
-                  switch (c.result) {
-                    case Commit::Result::committed:
-                      know(id, {c.revision, false});
-                      answer(status_response(201, id, "pending"));
-                      break;
-                    case Commit::Result::conflict:
-                    case Commit::Result::unknown:
-                      known_or(id, later(), answer);
-                      break;
-                    case Commit::Result::refused:
-                      answer(later());
-                      break;
-                    case Commit::Result::invalid:
-                      answer({400, {}, 0});
-                      break;
-                  }
-                });
+  store_.commit(
+      {{records::job_key(*ref), 0}, {records::end_key(*ref), 0}}, {{records::job_key(*ref), record, 0}},
+      Store::Urgent::user, [this, id = *ref, answer](const Commit& c) {
+        switch (c.result) {
+          case Commit::Result::committed:
+            know(id, {c.revision, false});
+            answer(status_response(201, id, "pending"));
+            break;
+          case Commit::Result::conflict:
+          case Commit::Result::unknown:
+            known_or(id, no_state(), answer);
+            break;
+          case Commit::Result::refused:
+            answer(no_state());
+            break;
+          case Commit::Result::invalid:
+            answer(refuse({400, "not_kept", "The state service does not take this description.", "", 0}));
+            break;
+        }
+      });
 }
 
 void Frontdesk::poll(const std::string& ref, const Answer& answer) {
   lookup(ref, [ref, answer](const Found& f) {
     if (f.failed) {
-      answer(later());
+      answer(f.busy ? busy() : no_state());
     } else if (!f.state) {
-      answer({404, {}, 0});
+      answer(unknown_job(ref));
     } else {
       answer({200,
               encode(Value::Map{{"ref", ref},
@@ -304,16 +336,16 @@
 
 void Frontdesk::withdraw(const std::string& ref, int tries, const Answer& answer) {
   if (tries == 0) {
-    answer(later());
+    answer(busy());
     return;
   }
   store_.get(records::job_key(ref), Store::Urgent::user, [this, ref, tries, answer](Read r) {
     if (r.result != Read::Result::ok) {
-      answer(later());
+      answer(no_state());
       return;
     }
     if (r.rows.empty()) {
-      known_or(ref, {404, {}, 0}, answer);
+      known_or(ref, unknown_job(ref), answer);
       return;
     }
     if (r.rows[0].value["wd"].boolean().value_or(false)) {
@@ -329,7 +361,7 @@
                       withdrawn(JobWithdrawn{ref});
                       answer(status_response(200, ref, "withdrawn"));
                     } else if (c.result == Commit::Result::refused) {
-                      answer(later());
+                      answer(no_state());
                     } else {
                       withdraw(ref, tries - 1, answer);
                     }
--- a/src/desk/include/wrenusher/desk/frontdesk.hpp
+++ b/src/desk/include/wrenusher/desk/frontdesk.hpp
@@ -40,6 +40,7 @@
   struct Found {
     bool failed = true;
     std::optional<State> state;
+    bool busy = false;  ///< failed since too much waits here
   };
   /// A live record as it was last read.
   struct Known {
--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -1,9 +1,10 @@
 #include "wrenusher/fleet/fleet.hpp"
 
-#include <spdlog/spdlog.h>
-
 #include <algorithm>
 
+#include "wrenusher/base/refusal.hpp"
+#include "wrenusher/log/log.hpp"
+
 namespace wrenusher::fleet {
 
 namespace {
@@ -43,27 +44,31 @@
 
 void Fleet::hello(const Request& request, const Answer& answer) {
   if (request.method != "POST") {
-    answer({405, {}, 0});
+    answer(refuse({405, "wrong_method", "This is asked with POST.", "", 0}));
     return;
   }
   const auto v = decode(request.body);
   auto report = v ? read_report(*v) : std::nullopt;
   if (!report) {
-    answer({400, {}, 0});
+    answer(refuse({400, "bad_report", "The body is no report of a worker.", "", 0}));
     return;
   }
   heard_any_ = rt_.now();
   ever_heard_ = true;
   if (report->epoch > term_.epoch) {
     // A 200 with our lower epoch would be dropped by the worker and let its lease run out.
-    spdlog::debug("report of {} has epoch {}, {} is known here", report->host, report->epoch, term_.epoch);
+    log::debug("report_newer", "report of {machine} has epoch {epoch}, {term} is known here",
+               log::with("machine", report->host), log::with("epoch", report->epoch),
+               log::with("term", term_.epoch));
     deposed(Deposed{report->epoch});
     answer({421, {}, 0});
     return;
   }
   if (!term_.leading) {
-    spdlog::debug("report of {} with epoch {} is sent on to '{}' of epoch {}", report->host, report->epoch,
-                  term_.leader, term_.epoch);
+    log::debug("report_sent_on",
+               "report of {machine} with epoch {epoch} is sent on to '{leader}' of epoch {term}",
+               log::with("machine", report->host), log::with("epoch", report->epoch),
+               log::with("leader", term_.leader), log::with("term", term_.epoch));
     answer(elsewhere());
     return;
   }
@@ -90,7 +95,8 @@
     reply({});  // older than what is known
     return;
   }
-  if (h.quiet) spdlog::info("machine {} is heard again", report.host);
+  if (h.quiet)
+    log::info("machine_heard", "machine {machine} is heard again", log::with("machine", report.host));
   h = {report.addr, report.tenure, report.serial, rt_.now(), false, std::nullopt};
   if (report.warning) h.taken = rt_.now() + *report.warning;
   const bool current = report.epoch == term_.epoch;
@@ -131,7 +137,7 @@
     const Micros lost = now - ticked_ - kTick;
     for (auto& [name, h] : hosts_) h.heard += lost;
     heard_any_ += lost;
-    spdlog::debug("this controller lost {:.1f} s", to_seconds(lost));
+    log::debug("lost_time", "this controller lost {seconds:.1f} s", log::with("seconds", to_seconds(lost)));
   }
   ticked_ = now;
   const Micros limit = quiet_after();
@@ -157,7 +163,8 @@
       const bool taken = h.taken && now >= *h.taken && now - h.heard > settings_.report * 3 / 2;
       if (h.quiet || (now - h.heard <= limit && !taken)) continue;
       h.quiet = true;
-      spdlog::info("machine {} is silent for {:.1f} s", name, to_seconds(now - h.heard));
+      log::info("machine_silent", "machine {machine} is silent for {seconds:.1f} s",
+                log::with("machine", name), log::with("seconds", to_seconds(now - h.heard)));
       quiet(HostQuiet{name});
     }
   }
--- a/src/ledger/ledger.cpp
+++ b/src/ledger/ledger.cpp
@@ -1,9 +1,9 @@
 #include "wrenusher/ledger/ledger.hpp"
 
-#include <spdlog/spdlog.h>
-
 #include <algorithm>
 
+#include "wrenusher/log/log.hpp"
+
 namespace wrenusher::ledger {
 
 namespace {
@@ -66,8 +66,9 @@
   loaded_ = true;
   std::size_t claims = 0;
   for (const auto& [host, m] : machines_.all()) claims += m.use.claims;
-  spdlog::info("term {}: {} live jobs and {} claims read in {:.2f} s", term_.epoch, book_.jobs().size(),
-               claims, to_seconds(rt_.now() - term_began_));
+  log::info("records_read", "term {term}: {jobs} live jobs and {claims} claims read in {seconds:.2f} s",
+            log::with("term", term_.epoch), log::with("jobs", book_.jobs().size()),
+            log::with("claims", claims), log::with("seconds", to_seconds(rt_.now() - term_began_)));
   follow(revision, term_.epoch);
 }
 
@@ -76,7 +77,7 @@
     if (!open_in(epoch)) return;
     std::uint64_t next = from;
     if (f.result == FollowReply::Result::too_old) {
-      spdlog::warn("changes were missed: reading all live jobs again");
+      log::warn("changes_missed", "changes were missed: reading all live jobs again");
       term_.leading = false;
       TermChanged again = term_;
       again.leading = true;
@@ -98,7 +99,7 @@
     const auto ref = records::parse_job_key(row.key);
     Job* job = ref ? book_.find(*ref) : nullptr;
     if (job == nullptr) {
-      if (accept_root(book_, row)) spdlog::debug("job {} is new", *ref);
+      if (accept_root(book_, row)) log::debug("job_new", "job {job} is new", log::with("job", *ref));
     } else if (row.stamp > job->stamp) {
       // Only users' cancellations change this record while its job lives.
       job->stamp = row.stamp;
@@ -187,7 +188,9 @@
   const Machine* m = machines_.find(g.host);
   if (m == nullptr) return;
   const book::Tenants there = book_.on(*m);
-  if (!there.empty()) spdlog::info("machine {} is gone with {} tasks", g.host, there.size());
+  if (!there.empty())
+    log::info("machine_gone", "machine {machine} is gone with {tasks} tasks", log::with("machine", g.host),
+              log::with("tasks", there.size()));
   for (const auto& [id, job] : there) book_.release(*job, id.second, "its machine is gone");
   held_.void_answer(g.host);
   machines_.erase(g.host);
--- a/src/ledger/takeover.cpp
+++ b/src/ledger/takeover.cpp
@@ -1,6 +1,6 @@
 #include "wrenusher/ledger/takeover.hpp"
 
-#include <spdlog/spdlog.h>
+#include "wrenusher/log/log.hpp"
 
 namespace wrenusher::ledger {
 
@@ -15,7 +15,7 @@
   const auto ref = records::parse_job_key(row.key);
   auto rec = ref ? records::read_job(row.value) : std::nullopt;
   if (!rec) {
-    spdlog::error("record {} cannot be read", row.key);
+    log::error("record_unreadable", "record {key} cannot be read", log::with("key", row.key));
     return false;
   }
   book.accept(*ref, std::move(*rec), row.stamp);
@@ -68,14 +68,14 @@
 void Takeover::accept_slot(Reading& r, const Row& row) {
   const auto slot = records::parse_slot_key(row.key);
   if (!slot || row.value.list() == nullptr) {
-    spdlog::error("record {} cannot be read", row.key);
+    log::error("record_unreadable", "record {key} cannot be read", log::with("key", row.key));
     return;
   }
   writer_.found_slot(*slot, row.stamp);
   for (const Value& item : *row.value.list()) {
     const auto id = records::read_block_id(item);
     if (!id) {
-      spdlog::error("record {} cannot be read", row.key);
+      log::error("record_unreadable", "record {key} cannot be read", log::with("key", row.key));
       continue;
     }
     const Job* job = book_.find(id->ref);
@@ -84,7 +84,7 @@
     if (f.version >= id->version) continue;
     auto state = records::read_block(item, job->spec().units);
     if (!state) {
-      spdlog::error("record {} cannot be read", row.key);
+      log::error("record_unreadable", "record {key} cannot be read", log::with("key", row.key));
       continue;
     }
     f = {id->version, *slot, std::move(*state)};
--- a/src/membership/leadership.cpp
+++ b/src/membership/leadership.cpp
@@ -1,6 +1,6 @@
 #include "wrenusher/membership/leadership.hpp"
 
-#include <spdlog/spdlog.h>
+#include "wrenusher/log/log.hpp"
 
 namespace wrenusher::membership {
 
@@ -162,7 +162,7 @@
   leader_ = settings_.node;
   deaf_ = false;
   certain_until_ = {};
-  spdlog::info("term {} begins: this node leads", epoch);
+  log::info("term_begins", "term {term} begins: this node leads", log::with("term", epoch));
   store_.leading(true);
   changed(TermChanged{true, epoch_, stamp, leader_});
   prove(sent);
@@ -183,7 +183,8 @@
 }
 
 void Leadership::stand_down(const char* why, Micros abstain) {
-  spdlog::warn("term {} ends here: {}", epoch_, why);
+  log::warn("term_ends", "term {term} ends here: {reason}", log::with("term", epoch_),
+            log::with("reason", why));
   leading_ = false;
   tenancy_ = 0;
   leader_.clear();
--- a/src/net/include/wrenusher/net/net.hpp
+++ b/src/net/include/wrenusher/net/net.hpp
@@ -22,13 +22,19 @@
  public:
   using Handler = std::function<void(Request, Answer)>;
 
-  /// `max_sockets` is the limit of the whole process.
-  explicit UvRuntime(int max_sockets);
+  /// `max_sockets` is the limit of the whole process, `pool` that of connections kept to one address.
+  explicit UvRuntime(int max_sockets, int pool = 12);
   ~UvRuntime() override;
 
   /// Throws std::runtime_error when the address cannot be listened on. `most` bounds its open connections.
   void listen(const Endpoint& at, int most, Handler handler);
+  /// Listens there no more, and closes what was accepted there.
+  void close(const Endpoint& at);
+  /// Until `stop`.
   void run();
+  void stop() { uv_stop(&loop_); }
+  /// For handles of the program's own (signals, children), to be used from this loop's thread only.
+  uv_loop_t* loop() { return &loop_; }
 
   Instant now() const override;
   WallTime wall() const override;
@@ -53,8 +59,10 @@
   bool draining_ = false;
   std::mt19937_64 random_;
   int max_sockets_;
+  int pool_;
   int open_sockets_ = 0;
   std::vector<std::unique_ptr<Listener>> listeners_;
+  std::vector<std::unique_ptr<Listener>> closed_;  ///< what they accepted may still be closing
   std::map<Endpoint, std::unique_ptr<Pool>> pools_;
 };
 
--- a/src/net/net.cpp
+++ b/src/net/net.cpp
@@ -7,12 +7,13 @@
 #include <array>
 #include <cstring>
 
+#include "wrenusher/base/refusal.hpp"
+
 namespace wrenusher::net {
 
 namespace {
 
 /// Outgoing connections per destination; what is over waits in the pool's queue.
-constexpr int kPoolSize = 12;
 /// A user's or worker's connection is closed when nothing came for this long.
 constexpr Micros kInboundIdle = from_seconds(45);
 /// A request that began must be whole within this.
@@ -108,6 +109,7 @@
 
 struct UvRuntime::Listener {
   UvRuntime* rt = nullptr;
+  Endpoint at;
   uv_tcp_t tcp{};
   int most = 0;
   Handler handler;
@@ -169,17 +171,19 @@
 
   void dispatch() {
     // Over the socket budget users are sent away; workers and health checks are still answered.
-    const bool refuse = refusing && request.target.starts_with("/submissions");
-    const bool keep = http_should_keep_alive(&parser) != 0 && !refuse && !too_large;
+    const bool sent_away = refusing && request.target.starts_with("/submissions");
+    const bool keep = http_should_keep_alive(&parser) != 0 && !sent_away && !too_large;
     answering = true;
     // Requests are not pipelined: nothing more is read until this one is answered.
     uv_read_stop(reinterpret_cast<uv_stream_t*>(&tcp));
     if (too_large) {
-      answer({400, {}, 0}, false);
+      answer(refuse({400, "too_large", "The body is larger than 64 KiB.", "", 0}), false);
       return;
     }
-    if (refuse) {
-      answer({503, {}, 3}, false);
+    if (sent_away) {
+      answer(
+          refuse({503, "too_many_connections", "This node has no connection to spare; others may.", "", 3}),
+          false);
       return;
     }
     std::weak_ptr<Inbound> weak = weak_from_this();
@@ -208,7 +212,9 @@
         HTTP_PARSER_ERRNO(&self->parser) != HPE_OK) {
       self->answering = true;
       uv_read_stop(stream);
-      self->answer({400, {}, 0}, false);
+      self->answer(self->too_large ? refuse({400, "too_large", "The body is larger than 64 KiB.", "", 0})
+                                   : refuse({400, "not_http", "This is not a request in HTTP/1.1.", "", 0}),
+                   false);
     }
   }
 
@@ -255,6 +261,7 @@
 void UvRuntime::listen(const Endpoint& at, int most, Handler handler) {
   auto l = std::make_unique<Listener>();
   l->rt = this;
+  l->at = at;
   l->most = most;
   l->handler = std::move(handler);
   uv_tcp_init(&loop_, &l->tcp);
@@ -284,11 +291,28 @@
       uv_read_start(reinterpret_cast<uv_stream_t*>(&in->tcp), take_buffer, Inbound::on_read);
     });
   }
-  if (rc != 0) throw std::runtime_error("cannot listen on " + at + ": " + uv_strerror(rc));
+  if (rc != 0) {
+    // The loop knows the handle: it must live until it is closed.
+    uv_close(reinterpret_cast<uv_handle_t*>(&l->tcp), nullptr);
+    closed_.push_back(std::move(l));
+    throw std::runtime_error("cannot listen on " + at + ": " + uv_strerror(rc));
+  }
   ++open_sockets_;
   listeners_.push_back(std::move(l));
 }
 
+void UvRuntime::close(const Endpoint& at) {
+  const auto it =
+      std::find_if(listeners_.begin(), listeners_.end(), [&](const auto& l) { return l->at == at; });
+  if (it == listeners_.end()) return;
+  uv_close(reinterpret_cast<uv_handle_t*>(&(*it)->tcp), nullptr);
+  --open_sockets_;
+  const auto open = (*it)->open;
+  for (const auto& in : open) in->close();
+  closed_.push_back(std::move(*it));
+  listeners_.erase(it);
+}
+
 // ---------------------------------------------------------------- outgoing
 
 struct UvRuntime::Pool {
@@ -420,7 +444,7 @@
       (*idle)->start(std::move(c));
       continue;
     }
-    if (static_cast<int>(pool.open.size()) >= kPoolSize) return;
+    if (static_cast<int>(pool.open.size()) >= pool_) return;
     auto c = pool.waiting.front();
     pool.waiting.pop_front();
     const sockaddr_in addr = address(pool.at);
@@ -481,7 +505,8 @@
 
 // ---------------------------------------------------------------- loop
 
-UvRuntime::UvRuntime(int max_sockets) : random_(std::random_device{}()), max_sockets_(max_sockets) {
+UvRuntime::UvRuntime(int max_sockets, int pool)
+    : random_(std::random_device{}()), max_sockets_(max_sockets), pool_(pool) {
   uv_loop_init(&loop_);
   // Mail is delivered after every round of the loop's events; the idle handle keeps the loop from sleeping
   // while some is left.
--- a/src/protocol/include/wrenusher/protocol/messages.hpp
+++ b/src/protocol/include/wrenusher/protocol/messages.hpp
@@ -75,8 +75,13 @@
 
 /// "req-" and digits, and short enough to be part of a key.
 bool valid_ref(std::string_view ref);
-/// Reads a submission; nothing when a field is missing or invalid.
-std::optional<JobSpec> read_spec(const Value& v);
+/// What is wrong with a submission: which field, and what about it.
+struct Fault {
+  std::string field;
+  std::string what;
+};
+/// Reads a submission; nothing when a field is missing or invalid, and the first such in `fault`.
+std::optional<JobSpec> read_spec(const Value& v, Fault* fault = nullptr);
 Value write_spec(const JobSpec& spec);
 
 enum class UnitStatus { pulling, gathering, running, saving, ended };
@@ -139,7 +144,7 @@
 };
 std::optional<Rental> read_rental(const Value& v);
 
-/// Why a job can never run with these machine types and teams; empty when it can.
-std::string never_runs(const JobSpec& spec, const Catalog& catalog, const Team* team);
+/// Why a job can never run with these machine types and teams; nothing when it can.
+std::optional<Fault> never_runs(const JobSpec& spec, const Catalog& catalog, const Team* team);
 
 }  // namespace wrenusher::protocol
--- a/src/protocol/messages.cpp
+++ b/src/protocol/messages.cpp
@@ -88,66 +88,88 @@
   return std::all_of(ref.begin() + 4, ref.end(), [](char c) { return c >= '0' && c <= '9'; });
 }
 
-std::optional<JobSpec> read_spec(const Value& v) {
+namespace {
+
+/// Takes the fields of a submission one by one and keeps the first fault.
+class SpecReader {
+ public:
+  explicit SpecReader(const Value& v) : v_(v) {}
+
+  std::string text(const char* field) {
+    const std::string* s = name(v_[field]);
+    if (s == nullptr) fail(field, "must be a text of 1 to 200 bytes");
+    return s == nullptr ? std::string() : *s;
+  }
+  double number(const char* field, double most) {
+    const auto n = amount(v_[field], most);
+    if (!n) fail(field, "must be a number from 0 to a thousand million");
+    return n.value_or(0);
+  }
+  bool boolean(const char* field) {
+    const auto b = v_[field].boolean();
+    if (!b) fail(field, "must be true or false");
+    return b.value_or(false);
+  }
+  Micros seconds(const char* field) { return from_seconds(number(field, kMostSeconds)); }
+  void fail(const char* field, const char* what) {
+    if (!fault_.field.empty()) return;
+    fault_ = {field, v_[field].is_null() ? std::string("is missing; it ") + what : what};
+  }
+  bool good() const { return fault_.field.empty(); }
+  const Fault& fault() const { return fault_; }
+
+ private:
+  const Value& v_;
+  Fault fault_;
+};
+
+}  // namespace
+
+std::optional<JobSpec> read_spec(const Value& v, Fault* fault) {
+  SpecReader in(v);
   JobSpec s;
-  const std::string* ref = v["ref"].text();
-  const std::string* queue = name(v["queue"]);
-  const std::string* owner = name(v["owner"]);
-  const std::string* shape = v["shape"].text();
-  const std::string* urgency = v["urgency"].text();
-  const std::string* bundle = name(v["bundle"]);
-  const auto units = v["units"].count();
-  const auto cores = amount(v["cores"], kMostAmount);
-  const auto cards = amount(v["cards"], kMostAmount);
-  const auto memory = amount(v["memory_gb"], kMostAmount);
-  const auto image = amount(v["image_gb"], kMostAmount);
-  const auto expected = amount(v["expected_s"], kMostSeconds);
-  const auto every = amount(v["snapshot_every_s"], kMostSeconds);
-  const auto snapshot = amount(v["snapshot_s"], kMostSeconds);
-  const auto same_place = v["same_place"].boolean();
-  const auto scatter = v["scatter"].boolean();
-  const auto standby = v["standby"].boolean();
-  if (!ref || !valid_ref(*ref) || !queue || !owner || !shape || !urgency || !bundle || !units || !cores ||
-      !cards || !memory || !image || !expected || !every || !snapshot || !same_place || !scatter ||
-      !standby) {
-    return std::nullopt;
+  s.ref = in.text("ref");
+  if (!valid_ref(s.ref)) in.fail("ref", "must be req- and digits, 64 bytes at most");
+  s.queue = in.text("queue");
+  s.owner = in.text("owner");
+  if (const auto shape = read_shape(in.text("shape"))) {
+    s.shape = *shape;
+  } else {
+    in.fail("shape", "must be sweep, gang or daemon");
+  }
+  if (const auto urgency = read_urgency(in.text("urgency"))) {
+    s.urgency = *urgency;
+  } else {
+    in.fail("urgency", "must be prod, high, normal or low");
   }
-  const auto sh = read_shape(*shape);
-  const auto ur = read_urgency(*urgency);
-  if (!sh || !ur || *units < 1 || *units > kMaxUnits) return std::nullopt;
+  const auto units = v["units"].count();
+  if (!units || *units < 1 || *units > kMaxUnits) in.fail("units", "must be a whole number from 1 to 100000");
+  s.units = static_cast<std::uint32_t>(std::min<std::uint64_t>(units.value_or(1), kMaxUnits));
+  s.needs = {to_amount(in.number("cores", kMostAmount)), to_amount(in.number("cards", kMostAmount)),
+             to_amount(in.number("memory_gb", kMostAmount))};
+  s.bundle = in.text("bundle");
+  s.image_gb = in.number("image_gb", kMostAmount);
+  s.same_place = in.boolean("same_place");
+  s.scatter = in.boolean("scatter");
+  s.standby = in.boolean("standby");
+  s.expected = in.seconds("expected_s");
+  s.snapshot_every = in.seconds("snapshot_every_s");
+  s.snapshot = in.seconds("snapshot_s");
   if (const Value& f = v["flavors"]; !f.is_null()) {
-    if (f.list() == nullptr || f.list()->empty() || f.list()->size() > 1000) return std::nullopt;
-    for (const Value& item : *f.list()) {
-      const std::string* flavor = name(item);
-      if (flavor == nullptr) return std::nullopt;
-      s.flavors.push_back(*flavor);
+    const bool good =
+        f.list() != nullptr && !f.list()->empty() && f.list()->size() <= 1000 &&
+        std::all_of(f.list()->begin(), f.list()->end(), [](const Value& i) { return name(i) != nullptr; });
+    if (good) {
+      for (const Value& item : *f.list()) s.flavors.push_back(*item.text());
+    } else {
+      in.fail("flavors", "must be a list of 1 to 1000 names, or null");
     }
   }
-  if (const Value& site = v["site"]; !site.is_null()) {
-    if (name(site) == nullptr) return std::nullopt;
-    s.site = *site.text();
-  }
-  if (const Value& due = v["due_s"]; !due.is_null()) {
-    const auto d = amount(due, kMostSeconds);
-    if (!d) return std::nullopt;
-    s.due = from_seconds(*d);
-  }
-  s.ref = *ref;
-  s.queue = *queue;
-  s.owner = *owner;
-  s.shape = *sh;
-  s.urgency = *ur;
-  s.units = static_cast<std::uint32_t>(*units);
-  s.needs = {to_amount(*cores), to_amount(*cards), to_amount(*memory)};
-  s.bundle = *bundle;
-  s.image_gb = *image;
-  s.same_place = *same_place;
-  s.scatter = *scatter;
-  s.standby = *standby;
-  s.expected = from_seconds(*expected);
-  s.snapshot_every = from_seconds(*every);
-  s.snapshot = from_seconds(*snapshot);
-  return s;
+  if (!v["site"].is_null()) s.site = in.text("site");
+  if (!v["due_s"].is_null()) s.due = in.seconds("due_s");
+  if (in.good()) return s;
+  if (fault != nullptr) *fault = in.fault();
+  return std::nullopt;
 }
 
 Value write_spec(const JobSpec& s) {
@@ -270,24 +292,28 @@
   return r;
 }
 
-std::string never_runs(const JobSpec& spec, const Catalog& catalog, const Team* team) {
-  if (team == nullptr) return "the team is not known";
-  const Needs all =
-      spec.shape == Shape::sweep ? spec.needs : spec.needs * static_cast<std::int64_t>(spec.units);
+std::optional<Fault> never_runs(const JobSpec& spec, const Catalog& catalog, const Team* team) {
+  if (team == nullptr) return Fault{"owner", "the team '" + spec.owner + "' is not known"};
+  const bool whole = spec.shape != Shape::sweep;
+  const Needs all = whole ? spec.needs * static_cast<std::int64_t>(spec.units) : spec.needs;
+  const char* who = whole ? "all its tasks together need" : "a task needs";
   if (team->cores_max > 0 && all.cores > to_amount(team->cores_max))
-    return "needs more cores than the team may use";
+    return Fault{"cores", std::string(who) + " more cores than the team may use"};
   if (team->cards_max > 0 && all.cards > to_amount(team->cards_max))
-    return "needs more cards than the team may use";
+    return Fault{"cards", std::string(who) + " more cards than the team may use"};
   // An array may do with half of its tasks at a time; what runs as a whole may not.
-  if (spec.shape != Shape::sweep && spec.units > 1 && spec.scatter && (spec.same_place || !spec.site.empty()))
-    return "its tasks must be in one zone and may not be";
+  if (whole && spec.units > 1 && spec.scatter && (spec.same_place || !spec.site.empty()))
+    return Fault{"scatter", "its tasks must be in one zone and may not be"};
   for (const auto& [name, flavor] : catalog) {
     if (!spec.needs.fits(flavor.room)) continue;
     for (const std::string& site : flavor.sites) {
-      if (spec.allows(name, site, false)) return {};
+      if (spec.allows(name, site, false)) return std::nullopt;
     }
   }
-  return "a task fits no machine type that the job allows";
+  return Fault{spec.flavors.empty() && spec.site.empty() ? "cores"
+               : spec.flavors.empty()                    ? "site"
+                                                         : "flavors",
+               "a task fits no machine type that the job allows"};
 }
 
 }  // namespace wrenusher::protocol
--- a/src/provisioner/provisioner.cpp
+++ b/src/provisioner/provisioner.cpp
@@ -1,10 +1,9 @@
 #include "wrenusher/provisioner/provisioner.hpp"
 
-#include <spdlog/spdlog.h>
-
 #include <algorithm>
 #include <limits>
 
+#include "wrenusher/log/log.hpp"
 #include "wrenusher/planner/planner.hpp"
 
 namespace wrenusher::provisioner {
@@ -95,10 +94,10 @@
         settings_.cloud, std::move(request), kTimeout, [this, done = std::move(done)](const Outcome& o) {
           if (!o.answered || o.response.status == 429 || (o.response.status == 503 && !no_capacity(o))) {
             troubles_ = std::min(troubles_ + 1, 5);
-            if (troubles_ == kTroubled) spdlog::warn("the cloud gives no answers");
+            if (troubles_ == kTroubled) log::warn("cloud_silent", "the cloud gives no answers");
             cloud_not_before_ = rt_.now() + millis(300) * troubles_ + rt_.jitter(millis(300) * troubles_);
           } else {
-            if (troubles_ >= kTroubled) spdlog::info("the cloud answers again");
+            if (troubles_ >= kTroubled) log::info("cloud_answers", "the cloud answers again");
             troubles_ = 0;
           }
           done(o);
@@ -149,7 +148,7 @@
 void Provisioner::take_catalog(const Value& v) {
   auto c = read_catalog(v);
   if (!c || c->empty()) return;
-  if (!catalog_) spdlog::info("{} machine types are known", c->size());
+  if (!catalog_) log::info("types_known", "{types} machine types are known", log::with("types", c->size()));
   catalog_ = std::make_shared<const Catalog>(std::move(*c));
   catalog_seen(CatalogSeen{catalog_});
 }
@@ -233,7 +232,8 @@
   if (added) {
     m.rented = rt_.now() - r.held;
     m.expected = std::max(m.expected, m.rented + patience(r.flavor));
-    spdlog::debug("machine {} ({}) is in the list", r.ref, r.flavor);
+    log::debug("machine_listed", "machine {machine} ({type}) is in the list", log::with("machine", r.ref),
+               log::with("type", r.flavor));
   }
   if (r.status == "running" && !m.running) {
     m.running = true;
@@ -285,20 +285,24 @@
           if (!m.up) m.expected = rt_.now() + patience(kind.flavor);
         }
       }
-      spdlog::info("rented {} of {} {} {} in {}", got, booking.count, kind.standby ? "spot" : "ordinary",
-                   kind.flavor, kind.site);
+      log::info("rented", "rented {machines} of {asked} {kind} {type} in {zone}", log::with("machines", got),
+                log::with("asked", booking.count), log::with("kind", kind.standby ? "spot" : "ordinary"),
+                log::with("type", kind.flavor), log::with("zone", kind.site));
       if (got < booking.count) refused_until_[kind] = rt_.now() + kRefusedPause;
       open_bookings_.erase(it);
       return;
     }
     if (no_capacity(o)) {
-      spdlog::info("no capacity for {} {} in {}", kind.standby ? "spot" : "ordinary", kind.flavor, kind.site);
+      log::info("no_capacity", "no capacity for {kind} {type} in {zone}",
+                log::with("kind", kind.standby ? "spot" : "ordinary"), log::with("type", kind.flavor),
+                log::with("zone", kind.site));
       refused_until_[kind] = rt_.now() + kRefusedPause;
       open_bookings_.erase(it);
       return;
     }
     if ((o.answered && o.response.status == 400) || ++booking.tries >= kBookingTries) {
-      spdlog::warn("booking {} of {} given up", name, kind.flavor);
+      log::warn("booking_given_up", "booking {booking} of {type} given up", log::with("booking", name),
+                log::with("type", kind.flavor));
       open_bookings_.erase(it);
       return;
     }
@@ -311,7 +315,8 @@
   Machine& m = know(host);
   if (m.returning) return;
   m.returning = true;
-  spdlog::info("returning {} ({}): {}", host, m.flavor, why);
+  log::info("returning", "returning {machine} ({type}): {reason}", log::with("machine", host),
+            log::with("type", m.flavor), log::with("reason", why));
   condemned(HostCondemned{host, why});
   to_return_.insert(host);
 }
@@ -395,10 +400,11 @@
     while (!times.empty() && now - times.front() > kSilenceMemory) times.pop_front();
     const bool known = lost_until_.contains(site);
     if (heard.contains(site)) {
-      if (known) spdlog::info("zone {} is heard again", site);
+      if (known) log::info("zone_heard", "zone {zone} is heard again", log::with("zone", site));
       lost_until_.erase(site);
     } else if (times.size() >= kFewSilent && !site.empty()) {
-      if (!known) spdlog::warn("zone {} is cut off: nothing is rented there", site);
+      if (!known)
+        log::warn("zone_cut", "zone {zone} is cut off: nothing is rented there", log::with("zone", site));
       lost_until_[site] = now + kLostZone;
     }
   }
--- a/src/reports/reports.cpp
+++ b/src/reports/reports.cpp
@@ -1,9 +1,9 @@
 #include "wrenusher/reports/reports.hpp"
 
-#include <spdlog/spdlog.h>
-
 #include <algorithm>
 
+#include "wrenusher/log/log.hpp"
+
 namespace wrenusher::reports {
 
 namespace {
@@ -17,7 +17,8 @@
 Reports::Taken Reports::take(const WorkerReport& r, bool current, bool settled) {
   Machine& m = machines_.at(r.host);
   if (m.tenure != 0 && r.tenure > m.tenure)
-    spdlog::info("machine {} began tenure {}: its tasks are gone", r.host, r.tenure);
+    log::info("machine_tenure", "machine {machine} began tenure {tenure}: its tasks are gone",
+              log::with("machine", r.host), log::with("tenure", r.tenure));
   const bool was_usable = m.usable();
   m.flavor = r.flavor;
   m.site = r.site;
@@ -49,7 +50,8 @@
       if (it != job->claims.end() && (it->second.at != &m || it->second.phase != Phase::fresh)) continue;
       // No claim stands for it, yet it is here: what is on a machine must be booked, or it could be started a
       // second time elsewhere.
-      spdlog::warn("task {} is on {} without a claim: adopted", unit_name(u.ref, u.task), r.host);
+      log::warn("task_adopted", "task {task} is on {machine} without a claim: adopted",
+                log::with("task", unit_name(u.ref, u.task)), log::with("machine", r.host));
       book_.claim(*job, u.task, m, u.attempt, Phase::loaded);
     }
     Claim& c = job->claims.at(u.task);
@@ -75,7 +77,8 @@
       if (u.cause == "error") fail_task(*job, m, u, out);
       if (u.cause == "no_room" || u.cause == "in_use") {
         m.full_until = rt_.now() + kNoRoomPause;
-        spdlog::info("machine {} refused {}: {}", r.host, unit_name(u.ref, u.task), u.cause);
+        log::info("start_refused", "machine {machine} refused {task}: {reason}", log::with("machine", r.host),
+                  log::with("task", unit_name(u.ref, u.task)), log::with("reason", u.cause));
       }
       book_.release(*job, u.task, u.cause.c_str());
     }
@@ -134,16 +137,20 @@
   const Instant ordered = c.pulling_since != Instant{} ? c.pulling_since : ready;
   waits_.started(spec.queue, {ordered - c.claimed, ready - ordered, c.running_since - ready,
                               c.pulling_since != Instant{}});
-  spdlog::debug("task {} runs on {}: order {:.1f} s, fetch {:.1f} s, gathered {:.1f} s",
-                unit_name(spec.ref, task), c.at->name, to_seconds(ordered - c.claimed),
-                to_seconds(ready - ordered), to_seconds(c.running_since - ready));
+  log::debug(
+      "task_runs",
+      "task {task} runs on {machine}: order {order:.1f} s, fetch {fetch:.1f} s, gathered {gathered:.1f} s",
+      log::with("task", unit_name(spec.ref, task)), log::with("machine", c.at->name),
+      log::with("order", to_seconds(ordered - c.claimed)), log::with("fetch", to_seconds(ready - ordered)),
+      log::with("gathered", to_seconds(c.running_since - ready)));
 }
 
 void Reports::fail_task(Job& job, Machine& m, const UnitReport& u, Taken& out) {
   const Instant now = rt_.now();
   const std::string& host = m.name;
   const std::string& ref = job.spec().ref;
-  spdlog::info("task {} failed on {}", unit_name(ref, u.task), host);
+  log::info("task_failed", "task {task} failed on {machine}", log::with("task", unit_name(ref, u.task)),
+            log::with("machine", host));
   job.error_hosts.insert(host);
   job.avoid[host] = now + from_seconds(60);
   if (job.error_hosts.size() >= kErrorHosts) {
@@ -153,7 +160,8 @@
     job.not_before = now + pause;
     job.error_hosts.clear();
     job.avoid.clear();
-    spdlog::warn("job {} fails on every machine, next try in {:.0f} s", ref, to_seconds(pause));
+    log::warn("job_fails", "job {job} fails on every machine, next try in {seconds:.0f} s",
+              log::with("job", ref), log::with("seconds", to_seconds(pause)));
     return;
   }
   m.errors[ref] = now;
@@ -190,7 +198,8 @@
       c.halt = true;
       c.leeway = leeway;
     }
-    spdlog::debug("task {} leaves {} before it is taken", unit_name(spec.ref, task), m.name);
+    log::debug("task_leaves", "task {task} leaves {machine} before it is taken",
+               log::with("task", unit_name(spec.ref, task)), log::with("machine", m.name));
   }
 }
 
--- a/src/rounds/rounds.cpp
+++ b/src/rounds/rounds.cpp
@@ -1,9 +1,9 @@
 #include "wrenusher/rounds/rounds.hpp"
 
-#include <spdlog/spdlog.h>
-
 #include <algorithm>
 
+#include "wrenusher/log/log.hpp"
+
 namespace wrenusher::rounds {
 
 namespace {
@@ -267,10 +267,14 @@
     const auto [it, first] = attempts.try_emplace(pl.job, job.last_try + 1);
     for (std::uint32_t i = 0; i < pl.tasks; ++i)
       book_.claim(job, *job.waiting.first(), *p.hosts[pl.host], it->second, Phase::fresh);
-    spdlog::debug("job {} (rank {:.1f} s): {} tasks to {}, finish in {:.1f} s with {:.1f} s of fetch",
-                  job.spec().ref, to_seconds(planner::rank(p.s.jobs[pl.job])), pl.tasks, host.name,
-                  to_seconds(planner::finish_time(host, p.s.jobs[pl.job])),
-                  to_seconds(planner::fetch_time(host, job.spec())));
+    log::debug("tasks_placed",
+               "job {job} (rank {rank:.1f} s): {tasks} tasks to {machine}, finish in {finish:.1f} s with "
+               "{fetch:.1f} s of fetch",
+               log::with("job", job.spec().ref),
+               log::with("rank", to_seconds(planner::rank(p.s.jobs[pl.job]))), log::with("tasks", pl.tasks),
+               log::with("machine", host.name),
+               log::with("finish", to_seconds(planner::finish_time(host, p.s.jobs[pl.job]))),
+               log::with("fetch", to_seconds(planner::fetch_time(host, job.spec()))));
   }
 }
 
@@ -326,7 +330,7 @@
     if (c.halt) continue;
     const Micros leeway = spec.saves() ? spec.snapshot + from_seconds(1) : Micros{0};
     if (spec.shape == Shape::gang) {
-      spdlog::info("gang {} makes room for more urgent work", spec.ref);
+      log::info("gang_makes_room", "gang {job} makes room for more urgent work", log::with("job", spec.ref));
       for (auto& [host, list] : book_.halt(*book_.find(spec.ref), leeway))
         halts.push_back({host, std::move(list)});
       continue;
@@ -335,8 +339,8 @@
     c.leeway = leeway;
     if (c.phase != Phase::fresh)
       orders[c.at->name].push_back({Order::Verb::halt, spec.ref, running[i].task, c.attempt, c.leeway});
-    spdlog::info("task {} on {} makes room for more urgent work", unit_name(spec.ref, running[i].task),
-                 c.at->name);
+    log::info("task_makes_room", "task {task} on {machine} makes room for more urgent work",
+              log::with("task", unit_name(spec.ref, running[i].task)), log::with("machine", c.at->name));
   }
   for (auto& [host, list] : orders) halts.push_back({host, std::move(list)});
 }
--- a/src/store/store.cpp
+++ b/src/store/store.cpp
@@ -1,9 +1,9 @@
 #include "wrenusher/store/store.hpp"
 
-#include <spdlog/spdlog.h>
-
 #include <algorithm>
 
+#include "wrenusher/log/log.hpp"
+
 namespace wrenusher::store {
 
 namespace {
@@ -73,7 +73,8 @@
   }
   if (reachable() != told_) {
     told_ = !told_;
-    spdlog::info("the state service {}", told_ ? "answers" : "gives no answers");
+    log::info("state_service", "the state service {state}",
+              log::with("state", told_ ? "answers" : "gives no answers"));
     health(StoreHealth{told_});
   }
 }
--- a/src/writer/writer.cpp
+++ b/src/writer/writer.cpp
@@ -1,9 +1,9 @@
 #include "wrenusher/writer/writer.hpp"
 
-#include <spdlog/spdlog.h>
-
 #include <algorithm>
 
+#include "wrenusher/log/log.hpp"
+
 namespace wrenusher::writer {
 
 namespace {
@@ -169,17 +169,21 @@
   for (const std::string& ref : p.finished) {
     const Job* job = book_.find(ref);
     if (job == nullptr) continue;
-    spdlog::info("job {} ({}) is {} after {:.1f} s", ref, job->spec().queue,
-                 job->rec.withdrawn ? "withdrawn" : "done", to_seconds(rt_.wall() - job->rec.accepted));
+    log::info("job_over", "job {job} ({queue}) is {state} after {seconds:.1f} s", log::with("job", ref),
+              log::with("queue", job->spec().queue),
+              log::with("state", job->rec.withdrawn ? "withdrawn" : "done"),
+              log::with("seconds", to_seconds(rt_.wall() - job->rec.accepted)));
     drop(ref);
   }
 }
 
 void Writer::settle(const Commit& c, const Pending& p) {
   committing_ = false;
-  spdlog::debug("commit of {} blocks in {} values and {} final states: {}{}", p.blocks.size(), p.slots.size(),
-                p.finished.size(), static_cast<int>(c.result),
-                c.failed.empty() ? "" : ", failed on " + c.failed.front());
+  log::debug("commit",
+             "commit of {blocks} blocks in {values} values and {finals} final states: {result}{failed}",
+             log::with("blocks", p.blocks.size()), log::with("values", p.slots.size()),
+             log::with("finals", p.finished.size()), log::with("result", static_cast<int>(c.result)),
+             log::with("failed", c.failed.empty() ? "" : ", failed on " + c.failed.front()));
   switch (c.result) {
     case Commit::Result::committed:
       committed(p, c.revision);
@@ -197,8 +201,9 @@
       for (const std::string& ref : p.finished) on_doubt(ref);
       return;
     case Commit::Result::invalid:
-      spdlog::error("the state service calls a write of {} blocks and {} final states malformed",
-                    p.blocks.size(), p.finished.size());
+      log::error("write_malformed",
+                 "the state service calls a write of {blocks} blocks and {finals} final states malformed",
+                 log::with("blocks", p.blocks.size()), log::with("finals", p.finished.size()));
       commit_not_before_ = rt_.now() + from_seconds(5);
       return;
     case Commit::Result::refused:
--- a/tests/formats_test.cpp
+++ b/tests/formats_test.cpp
@@ -5,8 +5,10 @@
 
 #include <cmath>
 #include <limits>
+#include <nlohmann/json.hpp>
 #include <set>
 
+#include "wrenusher/log/log.hpp"
 #include "wrenusher/protocol/messages.hpp"
 #include "wrenusher/records/records.hpp"
 #include "wrenusher/settings/settings.hpp"
@@ -156,7 +158,9 @@
   const std::set<std::string> optional = {"due_s"};
   for (const auto& [name, value] : *good.map()) {
     EXPECT_EQ(read_spec(without(good, name)).has_value(), optional.contains(name)) << name;
-    EXPECT_FALSE(read_spec(with(good, name, Value::List{Value{}}))) << name;
+    Fault fault;
+    EXPECT_FALSE(read_spec(with(good, name, Value::List{Value{}}), &fault)) << name;
+    EXPECT_EQ(fault.field, name);
   }
   const std::vector<std::pair<std::string, Value>> bad = {
       {"units", 0},
@@ -175,7 +179,12 @@
       {"flavors", Value::List{}},
       {"site", 4},
   };
-  for (const auto& [name, value] : bad) EXPECT_FALSE(read_spec(with(good, name, value))) << name;
+  for (const auto& [name, value] : bad) {
+    Fault fault;
+    EXPECT_FALSE(read_spec(with(good, name, value), &fault)) << name;
+    EXPECT_EQ(fault.field, name) << fault.what;
+    EXPECT_TRUE(fault.what.starts_with("must be")) << fault.what;
+  }
   EXPECT_TRUE(read_spec(with(good, "flavors", nullptr)));
   EXPECT_TRUE(read_spec(with(good, "units", 3.0)));
   EXPECT_TRUE(read_spec(with(good, "unheard_of", "x")));
@@ -251,3 +260,25 @@
   EXPECT_THROW(parse_tunables("[1, 2]"), SettingsError);
   EXPECT_THROW(parse_tunables("a: [1"), SettingsError);
 }
+
+TEST(Log, AnEventIsOneObjectWithTypedFieldsAndTheTextThatNamesThem) {
+  namespace log = wrenusher::log;
+  log::Fields fields;
+  fields.add_any("job", std::string_view("req-1\"\n\xff"));
+  fields.add_any("seconds", 1.5);
+  fields.add_any("term", std::uint64_t{3});
+  fields.add_any("late", true);
+  const auto line = nlohmann::json::parse("{" + fields.line("job_over", "a \"text\"") + "}");
+  EXPECT_EQ(line["event"], "job_over");
+  EXPECT_EQ(line["message"], "a \"text\"");
+  EXPECT_EQ(line["seconds"], 1.5);
+  EXPECT_EQ(line["term"], 3);
+  EXPECT_EQ(line["late"], true);
+  EXPECT_TRUE(line["job"].get<std::string>().starts_with("req-1\"\n"));
+  const double seconds = 1.25;
+  EXPECT_EQ(log::fill("after {seconds:.1f} s", fmt::make_format_args(fmt::arg("seconds", seconds))),
+            "after 1.2 s");
+  // A line that names what it has not been given is written as it stands: no reason to end.
+  EXPECT_EQ(log::fill("after {second} s", fmt::make_format_args(fmt::arg("seconds", seconds))),
+            "after {second} s");
+}
--- /dev/null
+++ b/tests/lab_test.cpp
@@ -0,0 +1,248 @@
+// The lab: site files, experiments, verdicts, and that its two clocks give the same answers.
+
+#include <gtest/gtest.h>
+
+#include <nlohmann/json.hpp>
+
+#include "wrenusher/lab/day.hpp"
+#include "wrenusher/lab/live_wires.hpp"
+#include "wrenusher/lab/verdict.hpp"
+#include "wrenusher/lab/world.hpp"
+
+using namespace wrenusher::lab;
+using namespace wrenusher::protocol;
+
+namespace {
+
+std::string error_of(const std::string& from, const std::string& to) {
+  std::string yaml = small_site_yaml();
+  const auto at = yaml.find(from);
+  EXPECT_NE(at, std::string::npos) << from;
+  yaml.replace(at, from.size(), to);
+  try {
+    parse_site(yaml, "site.yaml");
+    return "";
+  } catch (const SiteError& e) {
+    return e.what();
+  }
+}
+
+/// A small day with troubles, and everything that follows from it.
+Site troubled_site() {
+  Site s = parse_site(small_site_yaml(), "site.yaml");
+  s.length = from_seconds(150);
+  s.troubles = {{"controller_crash", from_seconds(40), from_seconds(5), {}, "leader", 0},
+                {"spot_wave", from_seconds(60), from_seconds(8), {}, "", 0.5},
+                {"state_outage", from_seconds(80), from_seconds(10), {}, "", 0}};
+  return s;
+}
+
+/// The answers to a list of requests, put one after the other.
+using Ask = std::function<void(const Request&, std::function<void(const Outcome&)>)>;
+
+std::vector<Request> requests() {
+  const auto body = [](const Value& v) { return encode(v); };
+  const auto multi = [&](Value::List when, Value::List apply) {
+    return Request{"POST", "/multi",
+                   body(Value::Map{{"when", std::move(when)}, {"apply", std::move(apply)}})};
+  };
+  const auto put = [](const char* k, const Value& v) { return Value(Value::Map{{"put", k}, {"value", v}}); };
+  return {multi({}, {put("a/b", 1), put("a/c", Value::List{1, "x", true})}),
+          {"GET", "/store/a/b", {}},
+          {"GET", "/store/a/missing", {}},
+          {"GET", "/store?starts=a/&limit=1", {}},
+          {"GET", "/store?starts=a/&from=a/b&limit=10", {}},
+          multi({Value::Map{{"k", "a/b"}, {"stamp", 1}}}, {put("a/b", 2)}),
+          multi({Value::Map{{"k", "a/b"}, {"stamp", 1}}}, {put("a/b", 3)}),
+          {"POST", "/holds", body(Value::Map{{"life_ms", 60000}})},
+          {"POST", "/holds/1/extend", {}},
+          {"POST", "/holds/9/extend", {}},
+          {"GET", "/follow?starts=a/&from=0&hold_ms=1000", {}},
+          {"DELETE", "/holds/1", {}},
+          multi({}, {Value::Map{{"delete", "a/c"}}}),
+          {"GET", "/follow?starts=a/&from=2", {}},
+          {"POST", "/multi", "\xff not CBOR"},
+          {"PUT", "/store/a", {}}};
+}
+
+/// Status and body of each answer.
+std::vector<std::string> answers(const std::function<void(const Request&, Done)>& ask,
+                                 const std::function<void()>& turn) {
+  std::vector<std::string> out;
+  for (const Request& r : requests()) {
+    bool answered = false;
+    ask(r, [&](const Outcome& o) {
+      answered = true;
+      out.push_back(std::to_string(o.answered ? o.response.status : 0) + " " + o.response.body);
+    });
+    while (!answered) turn();
+  }
+  return out;
+}
+
+}  // namespace
+
+TEST(Lab, RealSocketsAndSimulatedTimeGiveTheSameAnswers) {
+  const StateLimits limits{0, 0, 16, 16};
+  SimWires sim(1);
+  StateService simulated(sim, limits, std::make_unique<MemoryKeep>());
+  sim.serve_at("10.2.0.1:2379", "state", [&](const std::string& from, const Request& r, const Answer& a) {
+    simulated.serve(from, r, a);
+  });
+  // No message of a simulated network is certain to be answered: the models are asked beyond it.
+  const auto a = answers(
+      [&](const Request& r, Done done) {
+        simulated.serve("c0", r, [done](Response x) { done({true, true, std::move(x)}); });
+      },
+      [&] { sim.run(millis(10)); });
+
+  wrenusher::net::UvRuntime rt(100);
+  LiveWires live(rt, 17500);
+  StateService real(live, limits, std::make_unique<MemoryKeep>());
+  const auto at = live.serve(
+      "state", [&](const std::string&, const Request& r, const Answer& x) { real.serve("c0", r, x); });
+  ASSERT_TRUE(at);
+  const auto b = answers(
+      [&](const Request& r, Done done) {
+        live.send("c0", *at, r, from_seconds(30), [&rt, done = std::move(done)](const Outcome& o) {
+          done(o);
+          rt.stop();
+        });
+      },
+      [&] { rt.run(); });
+  EXPECT_EQ(a, b);
+}
+
+TEST(Lab, ACutLinkHoldsWhatIsSentUntilItIsHealed) {
+  wrenusher::net::UvRuntime rt(100);
+  LiveWires live(rt, 17700);
+  int came = 0;
+  const auto at = live.serve("state", [&](const std::string&, const Request&, const Answer& x) {
+    ++came;
+    x({200, {}, 0});
+    rt.stop();
+  });
+  ASSERT_TRUE(at);
+  live.links.cut("c0", "state", Cut::hold);
+  bool gave_up = false;
+  live.send("c0", *at, {"GET", "/", {}}, millis(20), [&](const Outcome& o) {
+    gave_up = !o.answered && o.sent;
+    rt.stop();
+  });
+  rt.run();
+  EXPECT_TRUE(gave_up);
+  EXPECT_EQ(came, 0);
+  live.heal();
+  rt.run();
+  EXPECT_EQ(came, 1);
+  live.links.cut("c0", "state", Cut::reset);
+  bool refused = false;
+  live.send("c0", *at, {"GET", "/", {}}, from_seconds(9), [&](const Outcome& o) {
+    refused = !o.answered && !o.sent;
+    rt.stop();
+  });
+  rt.run();
+  EXPECT_TRUE(refused);
+  live.unserve(*at);
+}
+
+TEST(Lab, SiteFilesSayWhichLineAndFieldIsWrong) {
+  EXPECT_EQ(error_of("name: small", "name: small"), "");
+  EXPECT_TRUE(error_of("boot: 4s", "boot: 4").starts_with("site.yaml:8: types.small.boot: must be a time"));
+  EXPECT_TRUE(error_of("machines: 4", "machine: 4").starts_with("site.yaml:12: unknown field 'machine'"));
+  EXPECT_TRUE(
+      error_of("urgency: high", "urgency: higher").find("classes.fixes.urgency: 'higher' is none of") !=
+      std::string::npos);
+  EXPECT_TRUE(error_of("zones: [a]", "zones: [z]").find("types.large.zones[0]: 'z' is none of a, b") !=
+              std::string::npos);
+  EXPECT_TRUE(error_of("tasks: 3", "tasks: {median: 3}").find("has no field 'p95'") != std::string::npos);
+  EXPECT_TRUE(error_of("team: red", "team: green").find("'green' is none of red, blue") != std::string::npos);
+  EXPECT_TRUE(error_of("name: small", "name: [").find("not valid YAML") != std::string::npos);
+}
+
+TEST(Lab, ADayRepeatsExactlyAndAnotherSeedIsAnotherDay) {
+  const Site s = troubled_site();
+  const DayResult a = play_day(s, 3);
+  const DayResult b = play_day(s, 3);
+  EXPECT_EQ(a.figures, b.figures);
+  EXPECT_TRUE(a.broken.empty()) << a.broken.front();
+  EXPECT_GE(a.figures.at("takeovers"), 1);
+  EXPECT_GT(a.figures.at("builds.done"), 0);
+  const DayResult c = play_day(s, 4);
+  EXPECT_NE(a.figures, c.figures);
+  // What is written is read back.
+  const auto again = read_days(day_json(s, {a, c}).dump(), "days.json");
+  ASSERT_EQ(again.size(), 2U);
+  EXPECT_EQ(again[0].figures, a.figures);
+  EXPECT_THROW(read_days("{}", "days.json"), SiteError);
+  EXPECT_NE(day_table(s, {a, c}).find("no rule broken"), std::string::npos);
+}
+
+TEST(Lab, ComparingTellsWhatMovedBeyondTheSpread) {
+  const auto day = [](std::uint64_t seed, double wait, double money) {
+    return DayResult{seed, {{"wait", wait}, {"money", money}, {"same", 1}}, {}};
+  };
+  const std::vector<DayResult> before = {day(1, 10, 5), day(2, 20, 6), day(3, 30, 7), day(9, 0, 0)};
+  // Waits fell on every day by about as much; money went up and down.
+  const std::vector<DayResult> after = {day(3, 25, 9), day(2, 15.2, 3), day(1, 4.9, 7)};
+  const Comparison c = compare_days(before, after);
+  EXPECT_EQ(c.pairs, 3U);
+  ASSERT_EQ(c.moved.size(), 1U);
+  EXPECT_EQ(c.moved[0].name, "wait");
+  EXPECT_NEAR(c.moved[0].after - c.moved[0].before, -4.97, 0.01);
+  EXPECT_EQ(c.same, 2U);
+}
+
+TEST(Lab, TheVerdictFailsWhenARuleIsBrokenOrAJobIsLost) {
+  World w(5);
+  w.submit(World::job(1, 2, 4, 5));
+  w.run(from_seconds(60));
+  const auto verdict = [&] { return judge(w.users(), w.machines(), w.checker); };
+  EXPECT_TRUE(verdict().good) << table(verdict());
+  w.submit(World::job(3, 1, 4, 5));
+  w.run(from_seconds(1));
+  EXPECT_FALSE(verdict().good);
+  EXPECT_NE(table(verdict()).find("LOST"), std::string::npos);
+  w.run(from_seconds(60));
+  EXPECT_TRUE(verdict().good) << table(verdict());
+  // A task of a finished job starts on two machines: what must never happen, told to the checker alone.
+  for (const char* host : {"m-98", "m-99"})
+    w.checker.started(w.now(), World::job(1, 2, 4, 5).ref, 0, host, "small", "a", true);
+  EXPECT_FALSE(verdict().good);
+  EXPECT_NE(table(verdict()).find("ran_twice"), std::string::npos);
+}
+
+TEST(Lab, FetchesShareAMachinesRateAndImagesStay) {
+  // Two images on one machine take as long as both of them together; the third time one is there already.
+  Site s = parse_site(small_site_yaml(), "site.yaml");
+  s.types.resize(1);
+  s.types[0].spot = 0;
+  s.types[0].ordinary = 1;
+  s.types[0].flavor.sites = {"a"};
+  s.machines = 1;
+  World w(7, s);
+  w.run(from_seconds(8));
+  JobSpec first = World::job(1, 1, 2, 20);
+  first.image_gb = 6;
+  first.bundle = "one";
+  JobSpec second = World::job(3, 1, 2, 20);
+  second.image_gb = 6;
+  second.bundle = "two";
+  std::map<std::string, Instant> started;
+  w.machines().on_start = [&](const std::string& ref, std::uint32_t) { started.emplace(ref, w.now()); };
+  const Instant begun = w.now();
+  w.submit(first);
+  w.submit(second);
+  w.run(from_seconds(25));
+  ASSERT_TRUE(started.contains(first.ref) && started.contains(second.ref));
+  const double alone = 6 / 1.33;
+  EXPECT_GT(to_seconds(std::max(started[first.ref], started[second.ref]) - begun), 2 * alone);
+  JobSpec third = World::job(5, 1, 2, 5);
+  third.bundle = "one";
+  const Instant later = w.now();
+  w.submit(third);
+  w.run(from_seconds(10));
+  ASSERT_TRUE(started.contains(third.ref));
+  EXPECT_LT(to_seconds(started[third.ref] - later), alone);
+  EXPECT_TRUE(w.checker.broken().empty());
+}
--- a/tests/world_test.cpp
+++ b/tests/world_test.cpp
@@ -407,11 +407,28 @@
   EXPECT_EQ(w.ask(1, {"GET", "/submissions", {}})->status, 405);
   EXPECT_EQ(w.ask(1, {"GET", "/nothing", {}})->status, 404);
   EXPECT_EQ(w.ask(1, {"POST", "/hello", "x"})->status, 400);
+  // Each refusal says why: a code, one sentence, and the field at fault.
+  const auto reason = [&](const Request& r) { return decode(w.ask(1, r)->body).value_or(Value()); };
+  JobSpec nobody = World::job(17, 1, 1, 1);
+  nobody.owner = "nobody";
+  const Value never = reason({"POST", "/submissions", encode(write_spec(nobody))});
+  EXPECT_EQ(*never["code"].text(), "never_runs");
+  EXPECT_EQ(*never["field"].text(), "owner");
+  EXPECT_NE(never["error"].text()->find("nobody"), std::string::npos);
+  nobody.needs.cores = -to_amount(1);
+  const Value bad = reason({"POST", "/submissions", encode(write_spec(nobody))});
+  EXPECT_EQ(*bad["code"].text(), "bad_field");
+  EXPECT_EQ(*bad["field"].text(), "cores");
+  EXPECT_EQ(*reason({"GET", "/submissions/req-000777", {}})["code"].text(), "unknown_job");
   EXPECT_EQ(w.ask(2, {"GET", "/ready", {}})->status, 200);
   w.state_outage(true);
   w.run(from_seconds(4));
   const auto refused = w.ask(0, {"POST", "/submissions", encode(write_spec(World::job(7, 1, 1, 1)))});
   EXPECT_EQ(refused->status, 503);
+  const Value why = decode(refused->body).value_or(Value());
+  ASSERT_NE(why["code"].text(), nullptr);
+  EXPECT_EQ(*why["code"].text(), "state_unreachable");
+  EXPECT_EQ(why["retry_after_s"].count(), refused->retry_after_s);
   EXPECT_GT(refused->retry_after_s, 0);
   EXPECT_EQ(w.ask(0, {"GET", "/submissions/req-000777", {}})->status, 503);
   EXPECT_EQ(w.ask(0, {"GET", "/ready", {}})->status, 200);  // an outage that all share
