--- a/lab/models/cloud.cpp
+++ b/lab/models/cloud.cpp
@@ -25,8 +25,11 @@
 }  // namespace
 
 Cloud::Cloud(Wires& wires, const Site& site, Machines& machines, int scale)
-    : wires_(wires), site_(site), machines_(machines), scale_(scale), tokens_(2 * site.settings.cloud_rps) {
-  refilled_ = wires_.now();
+    : wires_(wires),
+      site_(site),
+      machines_(machines),
+      scale_(scale),
+      pace_(site.settings.cloud_rps, 2, wires.now()) {
   note_list();
 }
 
@@ -45,23 +48,13 @@
   wires_.at(kListEvery, [this] { note_list(); });
 }
 
-/// Bursts worth two seconds are allowed.
-bool Cloud::paced() {
-  const double rate = site_.settings.cloud_rps;
-  tokens_ = std::min(2 * rate, tokens_ + to_seconds(wires_.now() - refilled_) * rate);
-  refilled_ = wires_.now();
-  if (tokens_ < 1) return false;
-  tokens_ -= 1;
-  return true;
-}
-
 void Cloud::serve(const std::string&, const Request& r, const Answer& answer) {
   ++requests_;
   if (down_) {
     answer(reply(503, Value::Map{{"error", "trouble"}}));
     return;
   }
-  if (!paced()) {
+  if (!pace_.take(1, wires_.now())) {
     answer({429, {}, 0});
     return;
   }
--- a/lab/models/include/wrenusher/lab/cloud.hpp
+++ b/lab/models/include/wrenusher/lab/cloud.hpp
@@ -5,6 +5,7 @@
 #include <deque>
 
 #include "wrenusher/lab/machines.hpp"
+#include "wrenusher/lab/pace.hpp"
 
 namespace wrenusher::lab {
 
@@ -26,7 +27,6 @@
   Response give_back(const Value& body);
   Response list(const std::string& target);
   void note_list();
-  bool paced();
 
   Wires& wires_;
   const Site& site_;
@@ -35,8 +35,7 @@
   bool down_ = false;
   std::map<std::string, std::vector<std::string>> bookings_;
   std::deque<std::pair<Instant, Value::List>> lists_;
-  double tokens_;
-  Instant refilled_{};
+  Pace pace_;
   std::uint64_t requests_ = 0;
   std::uint64_t rented_ = 0;
 };
--- a/lab/models/include/wrenusher/lab/state_service.hpp
+++ b/lab/models/include/wrenusher/lab/state_service.hpp
@@ -5,6 +5,7 @@
 #include <memory>
 
 #include "wrenusher/lab/keep.hpp"
+#include "wrenusher/lab/pace.hpp"
 #include "wrenusher/lab/wires.hpp"
 
 namespace wrenusher::lab {
@@ -52,13 +53,6 @@
     Instant ends{};
     Answer answer;
   };
-  /// Tokens of one second's worth at most.
-  struct Pace {
-    double rate = 0;
-    double tokens = 0;
-    Instant at{};
-    bool take(double n, Instant now);
-  };
   void respond(const Answer& answer, Response r);
   void get(const std::string& key, const Answer& answer);
   void list(const std::string& target, const Answer& answer);
--- a/lab/models/state_service.cpp
+++ b/lab/models/state_service.cpp
@@ -23,17 +23,12 @@
 
 }  // namespace
 
-bool StateService::Pace::take(double n, Instant now) {
-  if (rate <= 0) return true;
-  tokens = std::min(rate, tokens + to_seconds(now - at) * rate);
-  at = now;
-  if (tokens < n) return false;
-  tokens -= n;
-  return true;
-}
-
 StateService::StateService(Wires& wires, const StateLimits& limits, std::unique_ptr<Keep> keep)
-    : wires_(wires), limits_(limits), keep_(std::move(keep)) {
+    : wires_(wires),
+      limits_(limits),
+      keep_(std::move(keep)),
+      pace_(limits.rps, 1, wires.now()),
+      write_pace_(limits.write_rps, 1, wires.now()) {
   Saved s = keep_->load();
   revision_ = s.revision;
   keys_ = std::move(s.keys);
@@ -42,8 +37,6 @@
   past_before_ = s.past_before;
   // Every hold has its full time again, as after an outage: how long each still had is not kept.
   for (const auto& [id, life] : s.holds) holds_[id] = {life, wires_.now() + life};
-  pace_ = {limits.rps, limits.rps, wires_.now()};
-  write_pace_ = {limits.write_rps, limits.write_rps, wires_.now()};
   struct Ticker {
     StateService* s;
     void operator()() const {
