--- a/lab/live/include/wrenusher/lab/live_lab.hpp
+++ b/lab/live/include/wrenusher/lab/live_lab.hpp
@@ -31,6 +31,22 @@
 /// Becomes the program that `args` names, to end when its parent does. Returns only on failure.
 int run_child(char** args);
 
+/// A folder that outlives the program when it was asked for by name, and goes with its owner when it was not, also
+/// where the owner fails half made.
+class Folder {
+ public:
+  /// Throws LabError.
+  explicit Folder(const std::string& asked);
+  ~Folder();
+  Folder(const Folder&) = delete;
+  Folder& operator=(const Folder&) = delete;
+  const std::string& path() const { return path_; }
+
+ private:
+  std::string path_;
+  bool stays_;
+};
+
 class LiveLab {
  public:
   /// Throws LabError (a port in use, no such program) and KeepDamaged.
@@ -82,7 +98,7 @@
 
   net::UvRuntime& rt_;
   LabOptions options_;
-  std::string folder_;
+  Folder folder_;
   Checker checker_;
   LiveWires wires_;
   StateService state_;
--- a/lab/live/live_lab.cpp
+++ b/lab/live/live_lab.cpp
@@ -32,18 +32,6 @@
   return "c" + std::to_string(i);
 }
 
-std::string make_folder(const std::string& asked) {
-  if (!asked.empty()) {
-    std::error_code error;
-    std::filesystem::create_directories(asked, error);
-    if (error) throw LabError(asked + ": cannot be made: " + error.message());
-    return asked;
-  }
-  std::string name = (std::filesystem::temp_directory_path() / "wrenlab-XXXXXX").string();
-  if (mkdtemp(name.data()) == nullptr) throw LabError(name + ": no folder can be made there");
-  return name;
-}
-
 std::unique_ptr<Keep> make_keep(const LabOptions& o) {
   if (o.data.empty()) return std::make_unique<MemoryKeep>();
   return open_sqlite(o.data + "/state");
@@ -63,6 +51,22 @@
 
 }  // namespace
 
+Folder::Folder(const std::string& asked) : path_(asked), stays_(!asked.empty()) {
+  if (stays_) {
+    std::error_code error;
+    std::filesystem::create_directories(path_, error);
+    if (error) throw LabError(path_ + ": cannot be made: " + error.message());
+    return;
+  }
+  path_ = (std::filesystem::temp_directory_path() / "wrenlab-XXXXXX").string();
+  if (mkdtemp(path_.data()) == nullptr) throw LabError(path_ + ": no folder can be made there");
+}
+
+Folder::~Folder() {
+  std::error_code ignored;
+  if (!stays_) std::filesystem::remove_all(path_, ignored);
+}
+
 struct LiveLab::Child {
   LiveLab* lab = nullptr;
   int number = 0;
@@ -74,7 +78,7 @@
 LiveLab::LiveLab(net::UvRuntime& rt, LabOptions options)
     : rt_(rt),
       options_(std::move(options)),
-      folder_(make_folder(options_.data)),
+      folder_(options_.data),
       checker_(options_.site.settings),
       wires_(rt, options_.port + kMachines),
       state_(wires_,
@@ -115,7 +119,7 @@
   cloud_.furnish();
   machines_.start();
   for (int i = 0; i < options_.controllers; ++i) {
-    const std::string file = folder_ + "/" + name_of(i) + ".json";
+    const std::string file = folder_.path() + "/" + name_of(i) + ".json";
     std::ofstream out(file);
     out << settings_json(i);
     if (!out.flush()) throw LabError(file + ": cannot be written");
@@ -131,8 +135,6 @@
   for (const auto& c : children_) {
     if (c->running) uv_process_kill(&c->process, SIGKILL);
   }
-  std::error_code ignored;
-  if (options_.data.empty()) std::filesystem::remove_all(folder_, ignored);
 }
 
 Endpoint LiveLab::client(int controller) const {
@@ -140,7 +142,7 @@
 }
 
 std::string LiveLab::log_of(int controller) const {
-  return folder_ + "/" + name_of(controller) + ".log";
+  return folder_.path() + "/" + name_of(controller) + ".log";
 }
 
 /// Each controller has ports of its own to the state service, the cloud and its peers, so that the lab knows
@@ -239,7 +241,7 @@
 
 void LiveLab::start_child(int i) {
   Child& c = *children_[static_cast<std::size_t>(i)];
-  const std::string config = folder_ + "/" + name_of(i) + ".json";
+  const std::string config = folder_.path() + "/" + name_of(i) + ".json";
   const int log = open(log_of(i).c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0600);
   if (log < 0) throw LabError(log_of(i) + ": cannot be written");
   // By way of this program, so that it ends with the lab however the lab ends; see run_child.
--- a/src/planner/planner.cpp
+++ b/src/planner/planner.cpp
@@ -3,7 +3,9 @@
 #include <algorithm>
 #include <limits>
 #include <numeric>
+#include <string_view>
 #include <tuple>
+#include <unordered_map>
 
 namespace wrenusher::planner {
 
@@ -200,9 +202,16 @@
   return from_seconds(all / host.flavor->pull_gb_per_s);
 }
 
+namespace {
+
+Micros run_time(const PlanHost& host, const PlanJob& job) {
+  return Micros{static_cast<std::int64_t>(static_cast<double>(job.estimate.count()) / host.speed)};
+}
+
+}  // namespace
+
 Micros finish_time(const PlanHost& host, const PlanJob& job) {
-  const Micros run{static_cast<std::int64_t>(static_cast<double>(job.estimate.count()) / host.speed)};
-  return fetch_time(host, *job.spec) + run;
+  return fetch_time(host, *job.spec) + run_time(host, job);
 }
 
 std::vector<bool> overload(const Snapshot& s) {
@@ -299,15 +308,42 @@
 
 namespace {
 
+/// The machines that have an image or will have it, by image. Few of the machines have any one image, so that
+/// looking at all of them for every job was most of what a plan cost. Refers to the machines' own names of
+/// images.
+class Holders {
+ public:
+  explicit Holders(const std::vector<Later>& later) {
+    for (std::size_t i = 0; i < later.size(); ++i) {
+      const PlanHost& h = later[i].host;
+      if (h.images != nullptr) {
+        for (const auto& [bundle, used] : *h.images) by_image_[bundle].push_back(i);
+      }
+      for (const Pull& p : h.pulls) {
+        if (!cached(h, p.bundle)) by_image_[p.bundle].push_back(i);
+      }
+    }
+  }
+  /// Indices in rising order.
+  const std::vector<std::size_t>& of(const std::string& bundle) const {
+    static const std::vector<std::size_t> kNone;
+    const auto it = by_image_.find(bundle);
+    return it == by_image_.end() ? kNone : it->second;
+  }
+
+ private:
+  std::unordered_map<std::string_view, std::vector<std::size_t>> by_image_;
+};
+
 /// Places that become free on machines that have an image or will have it, the soonest first.
 class Waiting {
  public:
-  Waiting(std::vector<Later>& later, const PlanJob& job) {
+  Waiting(std::vector<Later>& later, const Holders& holders, const PlanJob& job) {
     const JobSpec& spec = *job.spec;
     if (spec.shape != Shape::sweep) return;
-    for (Later& l : later) {
+    for (const std::size_t i : holders.of(spec.bundle)) {
+      Later& l = later[i];
       const bool there = cached(l.host, spec.bundle);
-      if (!there && pull_of(l.host, spec.bundle) == nullptr) continue;
       if (!open_to(l.host, job)) continue;
       const Micros image = there ? Micros{0} : fetch_time(l.host, spec);
       for (Later::Place& p : l.places) {
@@ -425,7 +461,7 @@
     if (!delay) continue;
     const Micros fetch = fetch_time(host, spec);
     if (job.near_image && fetch * 2 > from_seconds(spec.image_gb / host.flavor->pull_gb_per_s)) continue;
-    out.push_back({h, finish_time(host, job) + *delay, host.flavor->room.cores,
+    out.push_back({h, fetch + run_time(host, job) + *delay, host.flavor->room.cores,
                    host.stays     ? 0
                    : host.standby ? 1
                                   : 2,
@@ -489,6 +525,7 @@
 
 Plan place(Snapshot s) {
   Plan plan;
+  const Holders holders(s.later);
   for (const std::size_t j : order(s)) {
     const PlanJob& job = s.jobs[j];
     const JobSpec& spec = *job.spec;
@@ -496,7 +533,7 @@
     const std::uint32_t want = count_fitting(spec.needs, ceiling_left(s, spec.owner), job.waiting);
     if (want == 0 || (gang && want < job.waiting)) continue;
     const bool pressed = slack(job, s.now, s.settings->objectives).standing == Standing::pressed;
-    Waiting waiting(s.later, job);
+    Waiting waiting(s.later, holders, job);
     const std::vector<Candidate> found = candidates(s, job, want);
     std::uint32_t placed = 0;
     for (const std::string& zone : zones_to_try(s, job, found)) {
--- a/tests/planner_test.cpp
+++ b/tests/planner_test.cpp
@@ -271,6 +271,32 @@
   EXPECT_EQ(p.shortages[0].soon, 2U);
 }
 
+TEST(Planner, AMachineThatHasAnImageAndFetchesItAgainOffersItsPlaceOnce) {
+  // The machines that have an image are looked up by its name. One listed twice would let two tasks wait for
+  // one place, and the second would wait for longer than the fetch it was spared.
+  World w;
+  w.job("blue", 2, 16, 30).bundle = "hot";
+  w.host(w.small, "a");
+  Later busy;
+  busy.host = w.s.hosts[0];
+  busy.host.name = "m-busy";
+  busy.host.room = {};
+  busy.host.images = &w.cached;
+  busy.host.pulls = {{"hot", 1, Urgency::normal}};
+  busy.places = {{from_seconds(4), w.specs[0]->needs, false}};
+  w.s.later = {busy};
+  const Plan p = place(w.s);
+  ASSERT_EQ(p.placements.size(), 1U);
+  EXPECT_EQ(p.placements[0].tasks, 1U);
+  EXPECT_TRUE(p.shortages.empty());
+  // On its way alone counts as well.
+  w.s.later[0].host.images = nullptr;
+  EXPECT_EQ(place(w.s).placements.size(), 1U);
+  EXPECT_TRUE(place(w.s).shortages.empty());
+  w.s.later[0].host.pulls.clear();
+  ASSERT_EQ(place(w.s).shortages.size(), 1U);
+}
+
 TEST(Planner, AimsForStartsPressWhatStartsAsAWhole) {
   World w;
   w.settings.objectives = {{"wait", "q", 1.0, from_seconds(70)}, {"finished", "q", 1.0, from_seconds(400)}};
