--- a/apps/wrenlab/main.cpp
+++ b/apps/wrenlab/main.cpp
@@ -283,12 +283,14 @@
     days.push_back(lab::play_day(site, static_cast<std::uint64_t>(first + i)));
   }
   if (bar) std::cerr << "\r\033[K";
-  if (!json.empty()) {
+  if (json == "-") {
+    std::cout << lab::day_json(site, days).dump(1) << '\n';
+  } else if (!json.empty()) {
     std::ofstream out(json);
     out << lab::day_json(site, days).dump(1) << '\n';
     if (!out.flush()) throw lab::SiteError(json + ": cannot be written");
   }
-  std::cout << lab::day_table(site, days);
+  if (json != "-") std::cout << lab::day_table(site, days);
   const bool broken = std::any_of(days.begin(), days.end(), [](const auto& d) { return !d.broken.empty(); });
   return broken ? kFailed : 0;
 }
@@ -343,7 +345,9 @@
   c_day->add_option("--seeds", seeds, "how many days, each with another seed (1)")
       ->check(CLI::Range(1, 10000));
   c_day->add_option("--first", first, "the first seed (1)")->check(CLI::Range(1, 1000000));
-  c_day->add_option("--json", json, "also write all figures of all days to this file");
+  c_day->add_option(
+      "--json", json,
+      "also write all figures of all days to this file; -: to standard output, in place of the table");
 
   std::string file_a;
   std::string file_b;
