--- a/apps/wrenusher/main.cpp
+++ b/apps/wrenusher/main.cpp
@@ -2,6 +2,7 @@
 
 #include <CLI/CLI.hpp>
 #include <iostream>
+#include <sstream>
 
 #include "wrenusher/controller/controller.hpp"
 #include "wrenusher/log/log.hpp"
@@ -12,6 +13,28 @@
 constexpr int kBadSettings = 2;
 constexpr int kCannotRun = 1;
 
+/// For each line "host address type zone" which domain it belongs to, and what it carries.
+std::string match(const wrenusher::topology::Topology& t, const std::string& file) {
+  const auto text = wrenusher::fields::read_file(file);
+  if (!text) throw wrenusher::fields::FieldError(file + ": cannot be read");
+  std::istringstream in(*text);
+  std::string line;
+  std::string out;
+  for (int n = 1; std::getline(in, line); ++n) {
+    std::istringstream words(line);
+    std::string host, addr, type, zone;
+    if (line.empty() || line[0] == '#') continue;
+    if (!(words >> host >> addr >> type >> zone) || !wrenusher::topology::parse_ip(addr))
+      throw wrenusher::fields::FieldError(file + ":" + std::to_string(n) +
+                                          ": must be a line of host, address, type and zone");
+    const auto place = t.find(host, addr, type, zone);
+    out += host + ": " + t.path(place.leaf);
+    for (const auto& [device, count] : place.devices) out += ", " + std::to_string(count) + " " + device;
+    out += "\n";
+  }
+  return out;
+}
+
 }  // namespace
 
 int main(int argc, char** argv) {
@@ -20,12 +43,15 @@
   std::string config;
   std::string tunables;
   std::string log_format = "text";
+  std::string hosts;
   bool check = false;
   app.add_option("--config", config, "settings file (JSON) of this controller")->required();
   app.add_option("--tunables", tunables, "operators' own settings (YAML), all optional");
   app.add_option("--log-format", log_format, "text, or json for one object a line")
       ->check(CLI::IsMember({"text", "json"}));
   app.add_flag("--check", check, "read the settings, say whether they are valid, and exit");
+  app.add_option("--hosts", hosts,
+                 "with --check: machines to find in the topology, one 'host address type zone' a line");
   app.set_version_flag("--version", std::string("wrenusher ") + WRENUSHER_VERSION);
   try {
     app.parse(argc, argv);
@@ -36,14 +62,26 @@
   try {
     settings = wrenusher::settings::load_settings(config);
     if (!tunables.empty()) settings.tunables = wrenusher::settings::load_tunables(tunables);
-  } catch (const wrenusher::settings::SettingsError& e) {
+    // Read whole before anything starts; later versions are taken or refused while it runs.
+    const std::string& map = settings.tunables.topology;
+    std::shared_ptr<const wrenusher::topology::Topology> topology;
+    if (!map.empty()) {
+      const auto text = wrenusher::fields::read_file(map);
+      if (!text) throw wrenusher::fields::FieldError(map + ": cannot be read");
+      topology = wrenusher::topology::Topology::parse(*text, map);
+    }
+    if (!hosts.empty() && (!check || !topology))
+      throw wrenusher::fields::FieldError("--hosts: needs --check and tunables that name a topology");
+    if (check) {
+      std::cout << "settings are valid\n";
+      if (topology) std::cout << topology->describe();
+      if (!hosts.empty()) std::cout << match(*topology, hosts);
+      return 0;
+    }
+  } catch (const std::runtime_error& e) {
     std::cerr << "wrenusher: " << e.what() << '\n';
     return kBadSettings;
   }
-  if (check) {
-    std::cout << "settings are valid\n";
-    return 0;
-  }
   wrenusher::log::set_up("wrenusher",
                          log_format == "json" ? wrenusher::log::Format::json : wrenusher::log::Format::text);
   try {
--- a/lab/models/include/wrenusher/lab/site.hpp
+++ b/lab/models/include/wrenusher/lab/site.hpp
@@ -3,10 +3,10 @@
 
 #include <optional>
 #include <random>
-#include <stdexcept>
 #include <string>
 #include <vector>
 
+#include "wrenusher/fields/fields.hpp"
 #include "wrenusher/protocol/messages.hpp"
 #include "wrenusher/settings/settings.hpp"
 
@@ -79,16 +79,14 @@
 };
 
 /// A mistake in a site file; what() is one line: file, line, field, what is wrong.
-struct SiteError : std::runtime_error {
-  using std::runtime_error::runtime_error;
-};
+using SiteError = fields::FieldError;
+using fields::parse_duration;
 
+/// The whole file; throws SiteError where it cannot be read.
+std::string read_text(const std::string& path);
 Site parse_site(const std::string& yaml, const std::string& file);
 Site load_site(const std::string& path);
 /// What is used where no file is named: two types of machine, two zones, two teams, four classes of jobs.
 const char* small_site_yaml();
 
-/// "1.5s", "200ms", "3m", "2h"; nothing when the unit is missing or wrong, or the number is.
-std::optional<Micros> parse_duration(const std::string& text);
-
 }  // namespace wrenusher::lab
--- a/src/book/book.cpp
+++ b/src/book/book.cpp
@@ -20,6 +20,7 @@
   // Versions rise from term to term as well: of two copies of a block the newer one is known.
   clock_ = epoch << 32U;
   ++news_;
+  population_ = {};
 }
 
 Job* Book::find(const std::string& ref) {
@@ -47,6 +48,7 @@
   if (!job.rec.withdrawn) job.waiting.add(0, job.rec.spec.units - 1);
   if (job.rec.withdrawn) over_.insert(ref);
   ++news_;
+  population_.in.push_back(ref);
   return jobs_.insert_or_assign(ref, std::move(job)).first->second;
 }
 
@@ -55,6 +57,7 @@
   while (!job.claims.empty()) unclaim(job, job.claims.begin()->first);
   for (std::uint32_t n = 0; n < job.blocks.size(); ++n) unrank_block(job, n);
   over_.erase(ref);
+  population_.out.push_back(job.id);
   jobs_.erase(ref);
 }
 
@@ -116,7 +119,8 @@
   if (phase == Phase::fresh) begin_pull(job, made);
   job.last_try = std::max(job.last_try, attempt);
   tenants_[&m].emplace(std::pair(job.id, task), &job);
-  Machines::book(m, job.spec());
+  machines_.book(m, job.spec());
+  ++job.change;
   teams_[job.spec().owner] += job.spec().needs;
   if (job.rec.withdrawn) check_over(job);
 }
@@ -131,7 +135,8 @@
   there->second.erase({job.id, task});
   // A machine that goes away leaves no entry behind: another may come to stand at its address.
   if (there->second.empty()) tenants_.erase(there);
-  Machines::unbook(m, job.spec());
+  machines_.unbook(m, job.spec());
+  ++job.change;
   teams_[job.spec().owner] -= job.spec().needs;
   job.claims.erase(it);
   touch(job, task, false);
@@ -151,19 +156,28 @@
         claim(job, t, machines_.at(c.host), c.attempt, Phase::loaded);
         Claim& made = job.claims.at(t);
         made.version = 0;
-        made.halt = job.rec.withdrawn;
+        if (job.rec.withdrawn) stop(made, Micros{0});
       }
     }
   }
+  ++job.change;
   Block& block = job.blocks[n];
   unrank_block(job, n);
   block.version = block.claimed = block.committed = version;
   check_over(job);
 }
 
+void Book::stop(Claim& c, Micros leeway) {
+  machines_.touch(*c.at);
+  c.halt = true;
+  c.leeway = leeway;
+}
+
 void Book::set_phase(const Job& job, Claim& c, Phase phase) {
-  if (c.phase == Phase::running) Machines::rests(*c.at, job.spec());
-  if (phase == Phase::running) Machines::runs(*c.at, job.spec());
+  if (c.phase == phase) return;
+  if (c.phase == Phase::running) machines_.rests(*c.at, job.spec());
+  if (phase == Phase::running) machines_.runs(*c.at, job.spec());
+  machines_.touch(*c.at);
   c.phase = phase;
 }
 
@@ -181,6 +195,7 @@
   log::debug("task_off", "task {task} is off its machine: {reason}",
              log::with("task", unit_name(job.spec().ref, task)), log::with("reason", why));
   unclaim(job, task);
+  ++job.change;
   if (job.rec.withdrawn) return;
   if (!job.done.contains(task)) job.waiting.add(task);
   if (job.spec().shape == Shape::gang) break_gang(job);
@@ -195,9 +210,7 @@
   if (job.broken) return;
   job.broken = true;
   for (auto& [task, c] : job.claims) {
-    if (c.halt) continue;  // it may be saving
-    c.halt = true;
-    c.leeway = Micros{0};
+    if (!c.halt) stop(c, Micros{0});  // else it may be saving
   }
 }
 
@@ -206,6 +219,7 @@
   unclaim(job, task);
   job.waiting.remove(task);
   job.done.add(task);
+  ++job.change;
   touch(job, task, false);
   job.fresh_done[task] = clock_;
   check_over(job);
@@ -218,6 +232,7 @@
 void Book::withdraw(Job& job) {
   job.rec.withdrawn = true;
   job.waiting = {};
+  ++job.change;
   log::info("job_withdrawn", "job {job} is withdrawn, {tasks} tasks to stop",
             log::with("job", job.spec().ref), log::with("tasks", job.claims.size()));
   check_over(job);
@@ -227,8 +242,7 @@
 Orders Book::halt(Job& job, Micros leeway) {
   Orders orders;
   for (auto& [task, c] : job.claims) {
-    c.halt = true;
-    c.leeway = leeway;
+    stop(c, leeway);
     if (c.phase != Phase::fresh)
       orders[c.at->name].push_back({Order::Verb::halt, job.spec().ref, task, c.attempt, leeway});
   }
@@ -270,6 +284,7 @@
       Machines::Reckoned& r = there[c.at];
       r.use.booked += spec.needs;
       ++r.use.claims;
+      for (const auto& [name, n] : spec.devices()) r.use.devices[name] += n;
       if (spec.shape == Shape::daemon) {
         r.use.lasting += spec.needs;
         ++r.use.services;
--- a/src/book/include/wrenusher/book/book.hpp
+++ b/src/book/include/wrenusher/book/book.hpp
@@ -11,6 +11,7 @@
 #include <string>
 #include <tuple>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 #include "wrenusher/base/range_set.hpp"
@@ -74,6 +75,7 @@
   Instant not_before{};
   Instant near_image_until{};  ///< a service waits so long for room to be made where its image is
   int backoffs = 0;
+  std::uint64_t change = 0;  ///< rises with what waits, is claimed or done
 
   const JobSpec& spec() const { return rec.spec; }
   std::uint32_t block_of(std::uint32_t task) const { return task / rec.block; }
@@ -112,6 +114,12 @@
   const std::map<std::string, Needs>& teams() const { return teams_; }
   /// Rises whenever room is freed or work arrives: reasons to plan.
   std::uint64_t news() const { return news_; }
+  /// Jobs that were taken up and dropped since the last call.
+  struct Population {
+    std::vector<std::string> in;     ///< names; some may be dropped again
+    std::vector<std::uint64_t> out;  ///< ids
+  };
+  Population take_population() { return std::exchange(population_, {}); }
 
   Job& accept(const std::string& ref, records::JobRecord rec, std::uint64_t stamp);
   /// The job is over: nothing of it stays booked or remembered.
@@ -128,6 +136,8 @@
   /// progress is saved only if all of them are told within a few seconds, so these orders do not wait for
   /// reports.
   Orders halt(Job& job, Micros leeway);
+  /// The task is to stop, and has so long to save.
+  void stop(Claim& c, Micros leeway);
   /// Keeps count of what is in use.
   void set_phase(const Job& job, Claim& c, Phase phase);
   /// The task waits for its image, unless that is there.
@@ -160,6 +170,7 @@
   std::uint64_t clock_ = 0;  ///< version of the newest change
   std::uint64_t jobs_taken_ = 0;
   std::uint64_t news_ = 0;
+  Population population_;
   std::unordered_map<std::string, Job> jobs_;
   std::unordered_map<const Machine*, Tenants> tenants_;
   std::map<std::string, Needs> teams_;
--- a/src/controller/controller.cpp
+++ b/src/controller/controller.cpp
@@ -12,9 +12,10 @@
 
 }  // namespace
 
-Controller::Controller(Runtime& rt, Settings settings)
+Controller::Controller(Runtime& rt, Settings settings, survey::Reader reader)
     : settings_(std::move(settings)),
       store_(rt, settings_),
+      survey_(rt, settings_.tunables.topology, std::move(reader)),
       leadership_(rt, settings_, store_),
       peer_(rt, settings_),
       frontdesk_(rt, settings_, store_),
@@ -31,6 +32,13 @@
   wire(rt, leadership_.certainty, ledger_, &Ledger::on_certainty);
   wire(rt, leadership_.certainty, provisioner_, &Provisioner::on_certainty);
 
+  wire(rt, survey_.read, leadership_, &Leadership::on_topology);
+  wire(rt, survey_.read, peer_, &Peer::on_topology);
+  wire(rt, leadership_.force, peer_, &Peer::on_force);
+  wire(rt, leadership_.force, frontdesk_, &Frontdesk::on_topology);
+  wire(rt, leadership_.force, fleet_, &Fleet::on_topology);
+  wire(rt, leadership_.force, ledger_, &Ledger::on_topology);
+
   wire(rt, peer_.news, leadership_, &Leadership::on_peer);
   wire(rt, peer_.news, frontdesk_, &Frontdesk::on_peer);
   wire(rt, peer_.withdrawn, ledger_, &Ledger::on_withdrawn);
@@ -39,6 +47,7 @@
   wire(rt, frontdesk_.withdrawn, ledger_, &Ledger::on_withdrawn);
 
   wire(rt, fleet_.reported, ledger_, &Ledger::on_report);
+  wire(rt, fleet_.doubted, ledger_, &Ledger::on_doubted);
   wire(rt, fleet_.quiet, ledger_, &Ledger::on_quiet);
   wire(rt, fleet_.quiet, provisioner_, &Provisioner::on_quiet);
   wire(rt, fleet_.hearing, leadership_, &Leadership::on_hearing);
@@ -62,6 +71,7 @@
 }
 
 void Controller::start() {
+  survey_.start();
   leadership_.start();
   peer_.start();
   fleet_.start();
--- a/src/controller/include/wrenusher/controller/controller.hpp
+++ b/src/controller/include/wrenusher/controller/controller.hpp
@@ -8,6 +8,7 @@
 #include "wrenusher/membership/leadership.hpp"
 #include "wrenusher/membership/peer.hpp"
 #include "wrenusher/provisioner/provisioner.hpp"
+#include "wrenusher/survey/survey.hpp"
 
 namespace wrenusher::controller {
 
@@ -22,7 +23,8 @@
 
 class Controller {
  public:
-  Controller(Runtime& rt, Settings settings);
+  /// `reader`: how the operators' topology is read, where the settings name one.
+  Controller(Runtime& rt, Settings settings, survey::Reader reader = fields::read_file);
   void start();
 
   /// A request on `client_listen`: a user's, a worker's or a health check.
@@ -36,6 +38,7 @@
  private:
   Settings settings_;
   Store store_;
+  survey::Survey survey_;
   Leadership leadership_;
   Peer peer_;
   Frontdesk frontdesk_;
--- a/src/desk/frontdesk.cpp
+++ b/src/desk/frontdesk.cpp
@@ -254,6 +254,16 @@
   });
 }
 
+/// Why the job can never run, with the machine types, teams and failure domains that there are.
+std::optional<Fault> Frontdesk::never(const JobSpec& spec, const Team* team) const {
+  static const Catalog kNone;
+  const Catalog& catalog = catalog_ ? *catalog_ : kNone;
+  if (auto why = never_runs(spec, catalog, team)) return why;
+  if (!spec.layout) return std::nullopt;
+  if (!topology_.topology) return Fault{"layout", "no topology is set up here, so there are no domains"};
+  return topology_.topology->never_holds(spec, catalog);
+}
+
 void Frontdesk::submit(const Request& request, const Answer& answer) {
   const auto v = decode(request.body);
   if (!v || v->map() == nullptr) {
@@ -280,7 +290,15 @@
              answer);
     return;
   }
-  if (const auto why = never_runs(*spec, catalog_ ? *catalog_ : Catalog{}, team)) {
+  if (spec->layout && !topology_.agreed) {
+    known_or(*ref,
+             refuse({503, "topology_unknown",
+                     "This node has not the topology that is in force, by which a layout is judged.",
+                     "layout", 2}),
+             answer);
+    return;
+  }
+  if (const auto why = never(*spec, team)) {
     log::info("submission_refused", "submission {job} can never run: {reason}", log::with("job", *ref),
               log::with("reason", why->what), log::with("field", why->field));
     known_or(*ref, refuse({422, "never_runs", "The job can never run: " + why->what + ".", why->field, 0}),
--- a/src/desk/include/wrenusher/desk/frontdesk.hpp
+++ b/src/desk/include/wrenusher/desk/frontdesk.hpp
@@ -24,6 +24,7 @@
   Frontdesk(Runtime& rt, const Settings& settings, Store& store);
   void serve(const Request& request, const Answer& answer);
 
+  void on_topology(const TopologyInForce& t) { topology_ = t; }
   void on_catalog(const CatalogSeen& c) { catalog_ = c.catalog; }
   void on_progress(const std::shared_ptr<const Progress>& p);
   void on_peer(const PeerNews& news);
@@ -57,6 +58,7 @@
   void settle_checks(std::vector<Check> asked, const Commit& c);
   void know(const std::string& ref, const Known& k);
   State live_state(const std::string& ref, bool gone) const;
+  std::optional<Fault> never(const JobSpec& spec, const Team* team) const;
   void submit(const Request& request, const Answer& answer);
   void poll(const std::string& ref, const Answer& answer);
   void withdraw(const std::string& ref, int tries, const Answer& answer);
@@ -68,6 +70,7 @@
   const Settings& settings_;
   Store& store_;
   std::shared_ptr<const Catalog> catalog_;
+  TopologyInForce topology_;
   std::map<std::string, std::pair<Instant, bool>> peers_;
   /// Done and running tasks of live jobs.
   std::unordered_map<std::string, std::pair<std::uint64_t, std::uint64_t>> counts_;
--- a/src/estimates/estimator.cpp
+++ b/src/estimates/estimator.cpp
@@ -30,16 +30,14 @@
 const Estimator::Seen* Estimator::seen(const JobSpec& spec) const {
   const auto queue = queues_.find(spec.queue);
   if (queue == queues_.end()) return nullptr;
-  const auto it = std::find_if(queue->second.begin(), queue->second.end(),
-                               [&](const Seen& s) { return s.ref == spec.ref; });
-  return it == queue->second.end() ? nullptr : &*it;
+  const auto& jobs = queue->second.jobs;
+  const auto it = std::find_if(jobs.begin(), jobs.end(), [&](const Seen& s) { return s.ref == spec.ref; });
+  return it == jobs.end() ? nullptr : &*it;
 }
 
-double Estimator::usual(const std::string& queue) const {
-  const auto it = queues_.find(queue);
-  if (it == queues_.end()) return 0;
+double Estimator::usual(const std::deque<Seen>& jobs) {
   std::vector<double> means;
-  for (const Seen& s : it->second) means.push_back(s.mean());
+  for (const Seen& s : jobs) means.push_back(s.mean());
   return cautious_median(std::move(means), kPrior);
 }
 
@@ -54,7 +52,8 @@
     h.speed =
         std::clamp(std::exp(-cautious_median({h.ratios.begin(), h.ratios.end()}, kHostPrior)), 0.2, 1.5);
   }
-  auto& queue = queues_[spec.queue];
+  Queue& seen_there = queues_[spec.queue];
+  auto& queue = seen_there.jobs;
   auto it = std::find_if(queue.begin(), queue.end(), [&](const Seen& s) { return s.ref == spec.ref; });
   if (it == queue.end()) {
     queue.push_back({spec.ref, 0, 0});
@@ -63,16 +62,24 @@
   }
   it->sum += ratio;
   ++it->tasks;
+  seen_there.usual = usual(queue);
+  ++seen_there.version;
 }
 
 Micros Estimator::estimate(const JobSpec& spec) const {
   if (spec.expected.count() <= 0) return kUnknown;
-  double log_ratio = usual(spec.queue);
+  const auto queue = queues_.find(spec.queue);
+  double log_ratio = queue == queues_.end() ? 0 : queue->second.usual;
   // What the job's own tasks showed is worth more than what its queue usually does.
   if (const Seen* s = seen(spec)) log_ratio = (log_ratio + s->sum) / (1 + s->tasks);
   return from_seconds(to_seconds(spec.expected) * std::exp(log_ratio));
 }
 
+std::uint64_t Estimator::version(const std::string& queue) const {
+  const auto it = queues_.find(queue);
+  return it == queues_.end() ? 0 : it->second.version;
+}
+
 double Estimator::speed(const std::string& host) const {
   const auto it = hosts_.find(host);
   return it == hosts_.end() ? 1.0 : it->second.speed;
--- a/src/estimates/include/wrenusher/estimates/estimator.hpp
+++ b/src/estimates/include/wrenusher/estimates/estimator.hpp
@@ -21,6 +21,8 @@
   /// Run time to expect of a task of this job on a machine of ordinary speed.
   Micros estimate(const JobSpec& spec) const;
   double speed(const std::string& host) const;
+  /// Rises with every change of what tasks of the queue are estimated to take.
+  std::uint64_t version(const std::string& queue) const;
   void forget_host(const std::string& host) { hosts_.erase(host); }
 
  private:
@@ -33,11 +35,16 @@
   };
   const Seen* seen(const JobSpec& spec) const;
   /// The usual logarithm of (seen / expected) in a queue.
-  double usual(const std::string& queue) const;
+  static double usual(const std::deque<Seen>& jobs);
 
   /// The last jobs of each queue, one entry a job however many tasks it has: a job's tasks share the error of
   /// its estimate, so one large job must not pass for many.
-  std::map<std::string, std::deque<Seen>> queues_;
+  struct Queue {
+    std::deque<Seen> jobs;
+    double usual = 0;  ///< what they say together; asked for far more often than it changes
+    std::uint64_t version = 0;
+  };
+  std::map<std::string, Queue> queues_;
   struct Host {
     std::deque<double> ratios;
     double speed = 1.0;  ///< what they say; asked for far more often than they change
--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -34,6 +34,8 @@
   if (begins) {
     led_since_ = rt_.now();
     hosts_.clear();
+    watch_.clear();
+    doubted_.clear();
   }
 }
 
@@ -97,7 +99,10 @@
   }
   if (h.quiet)
     log::info("machine_heard", "machine {machine} is heard again", log::with("machine", report.host));
-  h = {report.addr, report.tenure, report.serial, rt_.now(), false, std::nullopt};
+  if (topology_ && (h.addr != report.addr || h.flavor != report.flavor || h.site != report.site))
+    h.place = topology_->find(report.host, report.addr, report.flavor, report.site);
+  h = {report.addr,   report.flavor, report.site, std::move(h.place), report.tenure,
+       report.serial, rt_.now(),     false,       std::nullopt};
   if (report.warning) h.taken = rt_.now() + *report.warning;
   const bool current = report.epoch == term_.epoch;
   reported(HostReported{std::make_shared<const WorkerReport>(std::move(report)), current, settled, reply});
@@ -120,6 +125,25 @@
             });
 }
 
+void Fleet::on_topology(const TopologyInForce& t) {
+  if (topology_ == t.topology) return;
+  topology_ = t.topology;
+  watch_.take(topology_);
+  for (auto& [name, h] : hosts_)
+    h.place = topology_ ? topology_->find(name, h.addr, h.flavor, h.site) : topology::Place{};
+}
+
+void Fleet::look_at_domains(Micros late) {
+  if (!topology_) return;
+  std::vector<watch::Member> members;
+  members.reserve(hosts_.size());
+  for (const auto& [name, h] : hosts_) members.push_back({&name, &h.place, h.heard});
+  watch_.look(rt_.now(), late, members);
+  if (watch_.doubted() == doubted_) return;
+  doubted_ = watch_.doubted();
+  doubted(Doubted{doubted_});
+}
+
 void Fleet::on_gone(const HostGone& g) {
   hosts_.erase(g.host);
   if (!gone_.insert(g.host).second) return;
@@ -145,26 +169,30 @@
   // Machines do not end most at a time: where few of those that should have reported did, the fault is more
   // likely here. A leader cut off from its workers alone would otherwise return them all before it knows. Not
   // for ever, though: they may have ended after all.
+  const Micros late = settings_.report * 3 / 2 + kReportDelay;
   std::size_t awaited = 0;
   std::size_t heard = 0;
   for (const auto& [name, h] : hosts_) {
     if (h.quiet) continue;
     ++awaited;
-    if (now - h.heard <= settings_.report * 3 / 2 + kReportDelay) ++heard;
+    if (now - h.heard <= late) ++heard;
   }
   if (awaited < kFewHosts || heard * 4 >= awaited) most_heard_ = now;
   const bool few = now > most_heard_ && now - most_heard_ < settings_.lease;
   const bool deaf = term_.leading && now - led_since_ > limit && (!hears || few);
   hearing(Hearing{deaf, hears, !hosts_.empty()});
   if (term_.leading && !deaf && !few) {
+    look_at_domains(late);
     for (auto& [name, h] : hosts_) {
       // One that was to be taken about now needs no long silence to be believed gone. A notice may last half
       // as long as it says, so what counts is the silence as well.
       const bool taken = h.taken && now >= *h.taken && now - h.heard > settings_.report * 3 / 2;
       if (h.quiet || (now - h.heard <= limit && !taken)) continue;
       h.quiet = true;
-      log::info("machine_silent", "machine {machine} is silent for {seconds:.1f} s",
-                log::with("machine", name), log::with("seconds", to_seconds(now - h.heard)));
+      // Of a domain that is lost as a whole one line tells.
+      log::say(watch_.lost(h.place) ? spdlog::level::debug : spdlog::level::info, "machine_silent",
+               "machine {machine} is silent for {seconds:.1f} s", log::with("machine", name),
+               log::with("seconds", to_seconds(now - h.heard)));
       quiet(HostQuiet{name});
     }
   }
--- a/src/fleet/include/wrenusher/fleet/fleet.hpp
+++ b/src/fleet/include/wrenusher/fleet/fleet.hpp
@@ -1,7 +1,8 @@
 #pragma once
 // Package fleet: workers, their reports, the way orders reach them, who answers them, and which have gone
 // silent. It owns, by machine, the newest report's place in order and when it came; what the report means is
-// for the ledger. It may depend on base, settings, protocol and mail.
+// for the ledger; which failure domains are lost, watch judges. It may depend on base, settings, protocol,
+// topology, mail and watch.
 
 #include <deque>
 #include <memory>
@@ -9,6 +10,7 @@
 
 #include "wrenusher/mail/mail.hpp"
 #include "wrenusher/settings/settings.hpp"
+#include "wrenusher/watch/watch.hpp"
 
 namespace wrenusher::fleet {
 
@@ -26,16 +28,21 @@
   void on_term(const TermChanged& t);
   void on_certainty(const Certainty& c) { certain_until_ = c.until; }
   void on_gone(const HostGone& g);
+  void on_topology(const TopologyInForce& t);
   void on_direct(const DirectOrders& d);
 
   Sink<HostReported> reported;
   Sink<HostQuiet> quiet;
+  Sink<Doubted> doubted;
   Sink<Hearing> hearing;
   Sink<Deposed> deposed;
 
  private:
   struct Host {
     std::string addr;
+    std::string flavor;
+    std::string site;
+    topology::Place place;
     std::uint64_t tenure = 0;
     std::uint64_t serial = 0;
     Instant heard{};
@@ -43,6 +50,7 @@
     std::optional<Instant> taken;  ///< by then the cloud will have taken it away, as it said itself
   };
   void tick();
+  void look_at_domains(Micros late);
   Response elsewhere() const;
   void take(WorkerReport report, bool settled, const std::function<void(std::vector<Order>)>& reply);
   Micros quiet_after() const;
@@ -57,6 +65,9 @@
   Instant most_heard_{};  ///< when this leader last heard a fair part of its workers
   bool ever_heard_ = false;
   std::map<std::string, Host> hosts_;
+  std::shared_ptr<const topology::Topology> topology_;
+  watch::Watch watch_;
+  std::set<std::string> doubted_;  ///< as it was last told
   std::set<std::string> gone_;
   std::deque<std::string> gone_order_;
 };
--- a/src/ledger/include/wrenusher/ledger/ledger.hpp
+++ b/src/ledger/include/wrenusher/ledger/ledger.hpp
@@ -38,6 +38,8 @@
   void on_gone(const HostGone& g);
   void on_condemned(const HostCondemned& c);
   void on_catalog(const CatalogSeen& c);
+  void on_topology(const TopologyInForce& t);
+  void on_doubted(const Doubted& d);
   void on_withdrawn(const JobWithdrawn& w);
   void on_capacity(const CapacitySeen& c) { rounds_.take_capacity(c); }
 
--- a/src/ledger/ledger.cpp
+++ b/src/ledger/ledger.cpp
@@ -42,8 +42,10 @@
 }
 
 std::string Ledger::disagreement() const {
-  const std::string book = book_.disagreement();
-  return book.empty() ? writer_.disagreement() : book;
+  for (const std::string& said : {book_.disagreement(), writer_.disagreement(), rounds_.disagreement()}) {
+    if (!said.empty()) return said;
+  }
+  return {};
 }
 
 // ---------------------------------------------------------------- terms and news from the store
@@ -175,12 +177,17 @@
 }
 
 void Ledger::on_quiet(const HostQuiet& q) {
-  if (Machine* m = machines_.find(q.host)) m->quiet = true;
+  if (Machine* m = machines_.find(q.host)) {
+    m->quiet = true;
+    machines_.touch(*m);
+  }
   rounds_.need();
 }
 
 void Ledger::on_condemned(const HostCondemned& c) {
-  machines_.at(c.host).condemned = true;
+  Machine& m = machines_.at(c.host);
+  m.condemned = true;
+  machines_.touch(m);
 }
 
 void Ledger::on_gone(const HostGone& g) {
@@ -198,6 +205,21 @@
   rounds_.need();
 }
 
+void Ledger::on_topology(const TopologyInForce& t) {
+  machines_.take_topology(t.topology);
+  rounds_.need();
+}
+
+void Ledger::on_doubted(const Doubted& d) {
+  for (auto& [name, m] : machines_.all()) {
+    const bool doubted = d.hosts.contains(name);
+    if (m.doubted == doubted) continue;
+    m.doubted = doubted;
+    machines_.touch(m);
+  }
+  rounds_.need();
+}
+
 void Ledger::on_catalog(const CatalogSeen& c) {
   machines_.take_catalog(c.catalog);
   rounds_.need();
--- a/src/mail/include/wrenusher/mail/mail.hpp
+++ b/src/mail/include/wrenusher/mail/mail.hpp
@@ -1,16 +1,19 @@
 #pragma once
 // Package mail: the typed messages that actors send each other through sinks, and nothing else. It owns no
-// state. It may depend on base, settings and protocol; every actor may use it, so that none needs another's
-// header. A new message is a struct here, a sink at its sender and a line in the controller's wiring.
+// state. It may depend on base, settings, protocol and topology; every actor may use it, so that none needs
+// another's header. A new message is a struct here, a sink at its sender and a line in the controller's
+// wiring.
 
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
 
 #include "wrenusher/protocol/messages.hpp"
+#include "wrenusher/topology/topology.hpp"
 
 namespace wrenusher::mail {
 
@@ -41,6 +44,8 @@
   bool store = false;
   bool hears_workers = false;
   std::vector<std::string> withdrawn;
+  topology::Edition topology;  ///< what it has read from its file
+  topology::Edition in_force;  ///< while it leads
 };
 
 /// A worker or a peer showed an epoch above ours, or a write failed on the `leader` key.
@@ -55,6 +60,26 @@
   bool had_workers = false;  ///< some reported in this term
 };
 
+// ---- the topology
+
+/// This node's file was read and is whole; null: it names none.
+struct TopologyRead {
+  std::shared_ptr<const topology::Topology> topology;
+};
+
+/// What decisions are to be made by from now on: the leader's, or at other nodes this node's own where it is
+/// the one in force.
+struct TopologyInForce {
+  std::shared_ptr<const topology::Topology> topology;  ///< null: none
+  topology::Edition edition;                           ///< of it
+  bool agreed = true;  ///< false: another one is in force elsewhere, and nothing may be judged by this one
+};
+
+/// All machines that get nothing new because their domain is lost, or came back only just now.
+struct Doubted {
+  std::set<std::string> hosts;
+};
+
 // ---- users
 
 /// A user was told that this job is cancelled.
@@ -128,6 +153,8 @@
     Micros estimate{};
     Micros spare{};                  ///< how long it may wait for its start
     std::set<std::string> keep_off;  ///< types booked for jobs that fit nowhere else
+    /// Types and zones in which a machine could serve its layout; nothing: any.
+    std::optional<std::set<std::pair<std::string, std::string>>> reach;
   };
   struct HostLoad {
     std::string host;
--- a/src/membership/include/wrenusher/membership/leadership.hpp
+++ b/src/membership/include/wrenusher/membership/leadership.hpp
@@ -1,7 +1,8 @@
 #pragma once
 // Package membership: who may give commands, and what the controllers tell each other. Leadership owns the
 // hold in the state service, the epoch of each term, and the window in which this node may be certain that
-// nobody else leads; Peer owns the heartbeats. It may depend on base, settings, protocol, store and mail.
+// nobody else leads, and which topology is in force; Peer owns the heartbeats. It may depend on base,
+// settings, protocol, topology, store and mail.
 
 #include "wrenusher/mail/mail.hpp"
 #include "wrenusher/store/store.hpp"
@@ -14,6 +15,10 @@
 using namespace store;
 using namespace mail;
 
+/// An edition as a field of a record or beat; none is no field.
+void write_edition(Value::Map& out, const char* field, const topology::Edition& e);
+topology::Edition read_edition(const Value& v);
+
 class Leadership {
  public:
   Leadership(Runtime& rt, const Settings& settings, Store& store);
@@ -22,12 +27,14 @@
   void on_peer(const PeerNews& news);
   void on_deposed(const Deposed& d);
   void on_hearing(const Hearing& h);
+  void on_topology(const TopologyRead& t);
 
   /// Leads, and may be sure that nobody else does.
   bool certain() const { return leading_ && rt_.now() < certain_until_; }
 
   Sink<TermChanged> changed;
   Sink<Certainty> certainty;
+  Sink<TopologyInForce> force;
 
  private:
   struct PeerState {
@@ -44,11 +51,25 @@
   void note_epoch(std::uint64_t epoch, const std::string& leader);
   void prove(Instant sent);
   bool fresh(const PeerState& p) const;
+  topology::Edition mine() const;
+  bool peer_has(const topology::Edition& e) const;
+  void note_force(const topology::Edition& e);
+  void tell_force();
+  void complain();
+  void adopt();
+  void read_force();
 
   Runtime& rt_;
   const Settings& settings_;
   Store& store_;
   std::map<std::string, PeerState> peers_;
+  std::shared_ptr<const topology::Topology> topology_;  ///< as read here
+  topology::Edition force_;                             ///< as the state service or the leader told
+  std::uint64_t term_stamp_ = 0;                        ///< of the `leader` record, while leading
+  std::uint64_t epoch_stamp_ = 0;                       ///< of the record that names it, while leading
+  std::pair<topology::Edition, topology::Edition> complained_;
+  bool adopting_ = false;
+  Instant next_adopt_{};
   bool leading_ = false;
   bool busy_ = false;
   std::uint64_t epoch_ = 0;
--- a/src/membership/include/wrenusher/membership/peer.hpp
+++ b/src/membership/include/wrenusher/membership/peer.hpp
@@ -25,6 +25,8 @@
   void on_health(const StoreHealth& h) { store_ = h.reachable; }
   void on_hearing(const Hearing& h) { hears_ = h.hears_workers; }
   void on_withdrawn(const JobWithdrawn& w);
+  void on_topology(const TopologyRead& t);
+  void on_force(const TopologyInForce& t) { force_ = t.edition; }
   void on_progress(const std::shared_ptr<const Progress>& p) { untold_ = p; }
 
   Sink<PeerNews> news;
@@ -41,6 +43,8 @@
   const Settings& settings_;
   TermChanged term_;
   bool store_ = false;
+  topology::Edition mine_;
+  topology::Edition force_;
   bool hears_ = false;
   std::deque<std::pair<Instant, std::string>> recent_;
   std::shared_ptr<const Progress> untold_;  ///< goes out with the next beat
--- a/src/membership/leadership.cpp
+++ b/src/membership/leadership.cpp
@@ -1,5 +1,7 @@
 #include "wrenusher/membership/leadership.hpp"
 
+#include <algorithm>
+
 #include "wrenusher/log/log.hpp"
 
 namespace wrenusher::membership {
@@ -15,9 +17,22 @@
 constexpr Micros kMargin = millis(150);
 /// Pause after giving the lead away because no worker was heard.
 constexpr Micros kAbstain = from_seconds(8);
+/// Pause of a node with another topology than the one in force, for one that has it.
+constexpr Micros kDefer = from_seconds(2);
+constexpr Micros kAdoptEvery = from_seconds(1);
 
 }  // namespace
 
+void write_edition(Value::Map& out, const char* field, const topology::Edition& e) {
+  if (e.version > 0) out.emplace_back(field, Value::List{e.version, e.digest});
+}
+
+topology::Edition read_edition(const Value& v) {
+  const Value::List* l = v.list();
+  if (l == nullptr || l->size() != 2) return {};
+  return {(*l)[0].count().value_or(0), (*l)[1].count().value_or(0)};
+}
+
 Leadership::Leadership(Runtime& rt, const Settings& settings, Store& store)
     : rt_(rt), settings_(settings), store_(store) {}
 
@@ -36,6 +51,76 @@
   changed(TermChanged{false, epoch_, 0, leader_});
 }
 
+topology::Edition Leadership::mine() const {
+  return topology_ ? topology_->edition() : topology::Edition{};
+}
+
+bool Leadership::peer_has(const topology::Edition& e) const {
+  return std::any_of(peers_.begin(), peers_.end(), [&](const auto& p) {
+    return fresh(p.second) && p.second.news.store && p.second.news.topology == e;
+  });
+}
+
+void Leadership::on_topology(const TopologyRead& t) {
+  topology_ = t.topology;
+  if (leading_) adopt();
+  tell_force();
+}
+
+/// What is in force is known better than before.
+void Leadership::note_force(const topology::Edition& e) {
+  if (e == force_) return;
+  force_ = e;
+  tell_force();
+}
+
+void Leadership::tell_force() {
+  // Whoever leads judges by what it has.
+  force(TopologyInForce{topology_, mine(), leading_ || mine() == force_});
+}
+
+/// Says that this node has another topology than the one in force, once for each two.
+void Leadership::complain() {
+  if (mine() == force_ || std::pair(mine(), force_) == complained_) return;
+  complained_ = {mine(), force_};
+  log::error(
+      "topology_differs",
+      "topology {mine} is here, {force} is in force: this node does not lead while one that has it can",
+      log::with("mine", topology::to_text(mine())), log::with("force", topology::to_text(force_)));
+}
+
+/// Puts this leader's newer topology in force, in the record that the next leader reads before its term.
+void Leadership::adopt() {
+  if (adopting_ || mine().version <= force_.version) return;
+  adopting_ = true;
+  next_adopt_ = rt_.now() + kAdoptEvery;
+  Value::Map record{{"epoch", epoch_}};
+  write_edition(record, "topology", mine());
+  store_.commit({{"leader", term_stamp_}, {"epoch", epoch_stamp_}}, {{"epoch", std::move(record), 0}},
+                Store::Urgent::hold, [this, e = mine(), epoch = epoch_](const Commit& c) {
+                  adopting_ = false;
+                  if (!leading_ || epoch != epoch_) return;
+                  if (c.result == Commit::Result::committed) {
+                    epoch_stamp_ = c.revision;
+                    log::info("topology_in_force", "topology {edition} is in force",
+                              log::with("edition", topology::to_text(e)));
+                    note_force(e);
+                  } else if (c.result == Commit::Result::conflict) {
+                    // An earlier try was executed after all, or the term is over, which its hold will show.
+                    read_force();
+                  }
+                });
+}
+
+void Leadership::read_force() {
+  store_.get("epoch", Store::Urgent::hold, [this, epoch = epoch_](const Read& r) {
+    if (!leading_ || epoch != epoch_ || r.result != Read::Result::ok || r.rows.empty()) return;
+    if (r.rows[0].value["epoch"].count().value_or(0) != epoch) return;
+    epoch_stamp_ = r.rows[0].stamp;
+    note_force(read_edition(r.rows[0].value["topology"]));
+  });
+}
+
 void Leadership::on_peer(const PeerNews& news) {
   peers_[news.node] = {news, rt_.now()};
   if (news.epoch > epoch_) {
@@ -44,6 +129,10 @@
   } else if (!news.leader.empty() && leader_.empty()) {
     note_epoch(news.epoch, news.leader);
   }
+  if (!leading_ && news.leading && news.epoch == epoch_) {
+    note_force(news.in_force);
+    complain();
+  }
 }
 
 void Leadership::on_deposed(const Deposed& d) {
@@ -80,8 +169,12 @@
       peer_with_store = peer_with_store || p.news.store;
       peer_hears = peer_hears || p.news.hears_workers;
     }
+    if (mine() != force_ && now >= next_adopt_) adopt();
     if (now > certain_until_ && peer_with_store) {
       stand_down("a peer has the state service and this node has not", Micros{0});
+    } else if (mine().version <= force_.version && mine() != force_ && peer_has(force_)) {
+      store_.drop(tenancy_);
+      stand_down("a peer has the topology in force and this node has not", kAbstain);
     } else if (deaf_ && !settings_.peers.empty() &&
                (peer_hears || (!any_peer && had_workers_ && now - deaf_since_ > from_seconds(2)))) {
       // Workers cannot reach this node, or it is cut off from all but the state service: as long as it holds
@@ -133,15 +226,28 @@
       const std::uint64_t last = r.rows.empty() ? 0 : r.rows[0].value["epoch"].count().value_or(0);
       const std::uint64_t epoch_stamp = r.rows.empty() ? 0 : r.rows[0].stamp;
       const std::uint64_t next = std::max(last, epoch_) + 1;
+      topology::Edition in_force =
+          r.rows.empty() ? topology::Edition{} : read_edition(r.rows[0].value["topology"]);
+      note_force(in_force);
+      if (mine() != in_force && peer_has(in_force)) {
+        complain();
+        abandon(tenancy);
+        next_look_ = rt_.now() + kDefer;
+        return;
+      }
+      if (mine().version > in_force.version) in_force = mine();
+      Value::Map record{{"epoch", next}};
+      write_edition(record, "topology", in_force);
       store_.commit({{"leader", stamp}, {"epoch", epoch_stamp}},
                     {{"leader", Value::Map{{"node", settings_.node}, {"epoch", next}}, tenancy},
-                     {"epoch", Value::Map{{"epoch", next}}, 0}},
-                    Store::Urgent::hold, [this, sent, tenancy, next](Commit c) {
+                     {"epoch", std::move(record), 0}},
+                    Store::Urgent::hold, [this, sent, tenancy, next, in_force](Commit c) {
                       if (c.result != Commit::Result::committed) {
                         abandon(tenancy);
                         return;
                       }
                       busy_ = false;
+                      force_ = in_force;
                       win(tenancy, next, c.revision, sent);
                     });
     });
@@ -164,6 +270,10 @@
   certain_until_ = {};
   log::info("term_begins", "term {term} begins: this node leads", log::with("term", epoch));
   store_.leading(true);
+  term_stamp_ = epoch_stamp_ = stamp;
+  adopting_ = false;
+  tell_force();
+  complain();
   changed(TermChanged{true, epoch_, stamp, leader_});
   prove(sent);
   next_extend_ = rt_.now() + settings_.tunables.hold_life / 4;
@@ -192,6 +302,7 @@
   abstain_until_ = rt_.now() + abstain;
   next_look_ = rt_.now() + millis(200);
   store_.leading(false);
+  tell_force();
   certainty(Certainty{});
   changed(TermChanged{false, epoch_, 0, {}});
 }
--- a/src/membership/peer.cpp
+++ b/src/membership/peer.cpp
@@ -39,12 +39,18 @@
   send();
 }
 
+void Peer::on_topology(const TopologyRead& t) {
+  mine_ = t.topology ? t.topology->edition() : topology::Edition{};
+}
+
 Value Peer::describe() const {
   Value::List gone;
   for (const auto& [at, ref] : recent_) gone.emplace_back(ref);
   Value::Map out{{"node", settings_.node},      {"epoch", term_.epoch}, {"leader", term_.leader},
                  {"leading", term_.leading},    {"store", store_},      {"hears", hears_},
                  {"withdrawn", std::move(gone)}};
+  write_edition(out, "topology", mine_);
+  if (term_.leading) write_edition(out, "in_force", force_);
   if (untold_) {
     Value::List rows;
     rows.reserve(untold_->rows.size());
@@ -65,6 +71,8 @@
   n.leading = v["leading"].boolean().value_or(false);
   n.store = v["store"].boolean().value_or(false);
   n.hears_workers = v["hears"].boolean().value_or(false);
+  n.topology = read_edition(v["topology"]);
+  n.in_force = read_edition(v["in_force"]);
   if (const Value::List* l = v["withdrawn"].list()) {
     for (const Value& r : *l) {
       if (r.text() != nullptr && valid_ref(*r.text())) withdrawn(JobWithdrawn{*r.text()});
--- /dev/null
+++ b/src/planner/board.cpp
@@ -0,0 +1,859 @@
+#include "wrenusher/planner/board.hpp"
+
+#include <algorithm>
+#include <bit>
+#include <limits>
+#include <tuple>
+
+namespace wrenusher::planner {
+
+namespace {
+
+/// A machine on which a task could start now, as it is compared.
+Micros run_time(const PlanHost& host, const PlanJob& job) {
+  return finish_time(host, job) - fetch_time(host, *job.spec);
+}
+
+std::uint32_t width(Amount a) {
+  return static_cast<std::uint32_t>(std::bit_width(static_cast<std::uint64_t>(a)));
+}
+
+constexpr std::uint32_t kWidthBits = 7;
+constexpr std::uint32_t kWidthMask = (1U << kWidthBits) - 1;
+
+/// Whether a size class may hold what needs the other: each of the three is at least as wide.
+bool covers(std::uint32_t room, std::uint32_t need) {
+  return (room >> (2 * kWidthBits)) >= (need >> (2 * kWidthBits)) &&
+         ((room >> kWidthBits) & kWidthMask) >= ((need >> kWidthBits) & kWidthMask) &&
+         (room & kWidthMask) >= (need & kWidthMask);
+}
+
+std::vector<std::string> names_of(const std::map<std::string, std::uint32_t>& devices) {
+  std::vector<std::string> out;
+  for (const auto& [name, n] : devices) out.push_back(name);
+  return out;
+}
+
+}  // namespace
+
+std::uint32_t Board::size_class(const Needs& room) {
+  if (room.cores < 0 || room.cards < 0 || room.memory < 0) return kNoRoom;
+  return (width(room.cores) << (2 * kWidthBits)) | (width(room.cards) << kWidthBits) | width(room.memory);
+}
+
+// ---------------------------------------------------------------- names made numbers
+
+std::uint32_t Board::kind_of(const PlanHost& h) {
+  KindKey key{h.flavor, h.site, h.standby, {}};
+  if (h.guarded) std::get<3>(key) = names_of(h.place->devices);
+  const auto [it, added] = kind_ids_.try_emplace(key, static_cast<std::uint32_t>(kinds_.size()));
+  if (added) kinds_.push_back({h.flavor, h.site, h.standby, std::get<3>(key), {}});
+  return it->second;
+}
+
+std::uint32_t Board::type_of(const Flavor& f) {
+  const auto [it, added] = type_ids_.try_emplace(f.name, static_cast<std::uint32_t>(types_.size()));
+  if (added) types_.push_back({&f, 0});
+  return it->second;
+}
+
+std::uint32_t Board::image_of(const std::string& bundle) {
+  const auto it = image_ids_.find(bundle);
+  if (it != image_ids_.end()) return it->second;
+  std::uint32_t id = static_cast<std::uint32_t>(images_.size());
+  if (!free_images_.empty()) {
+    id = free_images_.back();
+    free_images_.pop_back();
+  } else {
+    images_.emplace_back();
+  }
+  images_[id].bundle = bundle;
+  image_ids_.emplace(bundle, id);
+  return id;
+}
+
+/// An image that no machine holds and no job waits for is forgotten: names come and go for ever.
+void Board::leave_image(std::uint32_t id) {
+  Image& image = images_[id];
+  if (image.users > 0 || !image.holders.isEmpty()) return;
+  image_ids_.erase(image.bundle);
+  image = {};
+  free_images_.push_back(id);
+}
+
+std::uint32_t Board::likes_of(const PlanJob& job) {
+  const JobSpec& spec = *job.spec;
+  const LikesKey key{spec.needs.cores, spec.needs.cards, spec.needs.memory, spec.flavors,
+                     spec.site,        spec.standby,     job.keep_off,      names_of(spec.devices())};
+  const auto it = likes_ids_.find(key);
+  if (it != likes_ids_.end()) {
+    ++likes_[it->second].jobs;
+    return it->second;
+  }
+  std::uint32_t id = static_cast<std::uint32_t>(likes_.size());
+  if (!free_likes_.empty()) {
+    id = free_likes_.back();
+    free_likes_.pop_back();
+  } else {
+    likes_.emplace_back();
+  }
+  likes_[id].key = likes_ids_.emplace(key, id).first;
+  likes_[id].jobs = 1;
+  return id;
+}
+
+void Board::forget_likes(std::uint32_t id) {
+  if (--likes_[id].jobs > 0) return;
+  likes_ids_.erase(likes_[id].key);
+  likes_[id] = {};
+  free_likes_.push_back(id);
+}
+
+bool Board::admits(Slot job, std::uint32_t kind) {
+  const Job& j = jobs_[job];
+  Likes& l = likes_[j.likes];
+  while (l.admits.size() < kinds_.size()) {
+    const Kind& k = kinds_[l.admits.size()];
+    const std::map<std::string, std::uint32_t>& mine = j.job.spec->devices();
+    const bool guarded = !k.guards.empty() && std::none_of(k.guards.begin(), k.guards.end(),
+                                                           [&](const auto& g) { return mine.contains(g); });
+    l.admits.push_back(!guarded && j.job.spec->allows(k.flavor->name, k.site, k.standby) &&
+                       !j.job.keep_off.contains(k.flavor->name));
+  }
+  return l.admits[kind] != 0;
+}
+
+std::vector<std::uint32_t> Board::admitted(Slot job) {
+  std::vector<std::uint32_t> out;
+  for (std::uint32_t k = 0; k < kinds_.size(); ++k) {
+    if (admits(job, k)) out.push_back(k);
+  }
+  return out;
+}
+
+void Board::learn_types(Likes& l, const PlanJob& job) const {
+  while (l.serves.size() < types_.size()) {
+    const Flavor& f = *types_[l.serves.size()].flavor;
+    l.serves.push_back(!job.keep_off.contains(f.name) && fits_flavor(*job.spec, f));
+    l.takes.push_back(in_cores(job.spec->needs, f));
+  }
+}
+
+// ---------------------------------------------------------------- machines
+
+Board::Slot Board::new_host() {
+  if (free_hosts_.empty()) {
+    hosts_.emplace_back();
+    mark_.push_back(0);
+    return static_cast<Slot>(hosts_.size() - 1);
+  }
+  const Slot slot = free_hosts_.back();
+  free_hosts_.pop_back();
+  return slot;
+}
+
+const PlanHost* Board::host(Slot slot) const {
+  return hosts_[slot].there ? &hosts_[slot].h : nullptr;
+}
+
+const std::vector<Leaving>& Board::leaving(Slot slot) const {
+  return hosts_[slot].leaving;
+}
+
+std::vector<Board::Slot> Board::holders(const std::string& bundle) const {
+  std::vector<Slot> out;
+  const auto it = image_ids_.find(bundle);
+  if (it == image_ids_.end()) return out;
+  for (const std::uint32_t slot : images_[it->second].holders) out.push_back(slot);
+  return out;
+}
+
+void Board::set_host(Slot slot, PlanHost h, std::vector<Leaving> leaving, Amount cores, bool open) {
+  unfile(slot);
+  Host& host = hosts_[slot];
+  host.there = true;
+  host.open = open;
+  host.h = std::move(h);
+  host.leaving = std::move(leaving);
+  host.cores = cores;
+  file(slot);
+}
+
+void Board::set_pulls(Slot slot, std::vector<Pull> pulls) {
+  hosts_[slot].h.pulls = std::move(pulls);
+}
+
+void Board::drop_host(Slot slot) {
+  unfile(slot);
+  Host& host = hosts_[slot];
+  host.there = false;
+  host.h = {};
+  host.leaving.clear();
+  free_hosts_.push_back(slot);
+}
+
+void Board::file_room(Slot slot, const Needs& room) {
+  Host& host = hosts_[slot];
+  const std::uint32_t size = host.there && host.open ? size_class(room) : kNoRoom;
+  if (size == host.room) return;
+  Kind& kind = kinds_[host.kind];
+  if (host.room != kNoRoom) {
+    const auto it = kind.roomy.find(host.room);
+    it->second.remove(slot);
+    if (it->second.isEmpty()) kind.roomy.erase(it);
+  }
+  if (size != kNoRoom) kind.roomy[size].add(slot);
+  host.room = size;
+}
+
+void Board::file(Slot slot) {
+  Host& host = hosts_[slot];
+  host.kind = kind_of(host.h);
+  host.type = type_of(*host.h.flavor);
+  types_[host.type].cores += host.cores;
+  file_room(slot, host.h.free.room);
+  for (const Leaving& l : host.leaving) {
+    std::uint32_t id = static_cast<std::uint32_t>(places_.size());
+    if (!free_places_.empty()) {
+      id = free_places_.back();
+      free_places_.pop_back();
+    } else {
+      places_.emplace_back();
+    }
+    Needs room = host.h.free.room;
+    room += l.needs;
+    places_[id] = {room, slot, static_cast<std::uint32_t>(host.places.size()), host.kind, 0};
+    host.places.push_back(id);
+  }
+  if (host.h.images != nullptr) {
+    for (const auto& [bundle, used] : *host.h.images) host.images.push_back(image_of(bundle));
+  }
+  for (const Pull& p : host.h.pulls) {
+    if (!cached(host.h, p.bundle)) host.images.push_back(image_of(p.bundle));
+  }
+  for (const std::uint32_t id : host.images) images_[id].holders.add(slot);
+  change_shelves(host, slot);
+  ++host.set;
+  schedule(slot);
+}
+
+void Board::unfile(Slot slot) {
+  Host& host = hosts_[slot];
+  if (!host.there) return;
+  types_[host.type].cores -= host.cores;
+  host.there = false;
+  file_room(slot, {});
+  change_shelves(host, slot);
+  free_places_.insert(free_places_.end(), host.places.begin(), host.places.end());
+  host.places.clear();
+  const std::vector<std::uint32_t> images = std::move(host.images);
+  host.images.clear();
+  for (const std::uint32_t id : images) {
+    images_[id].holders.remove(slot);
+    leave_image(id);
+  }
+}
+
+void Board::change_shelves(const Host& h, Slot slot) {
+  for (const std::uint32_t id : h.images) {
+    if (images_[id].shelf) images_[id].shelf->changed.push_back(slot);
+  }
+}
+
+/// The next time at which one of the machine's tasks is later than was believed.
+void Board::schedule(Slot slot) {
+  const Host& host = hosts_[slot];
+  std::optional<Instant> next;
+  for (const Leaving& l : host.leaving) {
+    if (!l.end || *l.end - l.in <= clock_) continue;
+    if (!next || *l.end - l.in < *next) next = *l.end - l.in;
+  }
+  if (next) timers_.emplace(*next, slot, host.set);
+}
+
+void Board::settle(Instant clock) {
+  clock_ = clock;
+  while (!timers_.empty() && std::get<0>(timers_.top()) <= clock) {
+    const auto [at, slot, set] = timers_.top();
+    timers_.pop();
+    if (!hosts_[slot].there || hosts_[slot].set != set) continue;
+    change_shelves(hosts_[slot], slot);
+    schedule(slot);
+  }
+}
+
+// ---------------------------------------------------------------- places to come
+
+bool Board::earlier(const Entry& a, const Entry& b) const {
+  if (a.key != b.key) return a.key < b.key;
+  if (a.host != b.host) return hosts_[a.host].h.name < hosts_[b.host].h.name;
+  return places_[a.place].index < places_[b.place].index;
+}
+
+bool Board::sooner(const Soon& a, const Soon& b) const {
+  return earlier({a.in.count(), a.place, a.host}, {b.in.count(), b.place, b.host});
+}
+
+/// Puts the machine's places into the shelf's lists.
+void Board::shelve(Shelf& shelf, Slot slot) {
+  const Host& host = hosts_[slot];
+  if (!host.h.pulls.empty() || std::any_of(host.leaving.begin(), host.leaving.end(),
+                                           [](const Leaving& l) { return l.fetches != nullptr; })) {
+    shelf.moving.add(slot);
+    return;
+  }
+  for (std::size_t i = 0; i < host.leaving.size(); ++i) {
+    const Leaving& l = host.leaving[i];
+    if (l.end && *l.end - clock_ > l.in) {
+      shelf.by_end.push_back({l.end->time_since_epoch().count(), host.places[i], slot});
+    } else {
+      shelf.by_wait.push_back({l.in.count(), host.places[i], slot});
+    }
+  }
+}
+
+/// Makes the shelf what it should be now, from what has changed since it was last looked at.
+void Board::refresh(Image& image, const JobSpec& spec) {
+  const bool fresh = !image.shelf;
+  if (fresh) {
+    image.shelf = std::make_unique<Shelf>();
+    for (const std::uint32_t slot : image.holders) image.shelf->changed.push_back(slot);
+  }
+  Shelf& shelf = *image.shelf;
+  if (shelf.plan == plans_) return;
+  shelf.plan = plans_;
+  const auto order = [this](const Entry& a, const Entry& b) { return earlier(a, b); };
+  if (!shelf.changed.empty()) {
+    std::vector<Slot> changed;
+    for (const Slot slot : shelf.changed) {
+      if (mark_[slot] == 0) changed.push_back(slot);
+      mark_[slot] = 1;
+    }
+    shelf.changed.clear();
+    const auto gone = [this](const Entry& e) { return mark_[e.host] != 0; };
+    std::erase_if(shelf.by_end, gone);
+    std::erase_if(shelf.by_wait, gone);
+    const auto ends = static_cast<std::ptrdiff_t>(shelf.by_end.size());
+    const auto waits = static_cast<std::ptrdiff_t>(shelf.by_wait.size());
+    for (const Slot slot : changed) {
+      mark_[slot] = 0;
+      if (!fresh) shelf.moving.remove(slot);
+      if (image.holders.contains(slot)) shelve(shelf, slot);
+    }
+    std::sort(shelf.by_end.begin() + ends, shelf.by_end.end(), order);
+    std::inplace_merge(shelf.by_end.begin(), shelf.by_end.begin() + ends, shelf.by_end.end(), order);
+    std::sort(shelf.by_wait.begin() + waits, shelf.by_wait.end(), order);
+    std::inplace_merge(shelf.by_wait.begin(), shelf.by_wait.begin() + waits, shelf.by_wait.end(), order);
+  }
+  shelf.moved.clear();
+  for (const std::uint32_t slot : shelf.moving) {
+    const Host& host = hosts_[slot];
+    const Micros there = fetch_time(host.h, spec);
+    for (std::size_t i = 0; i < host.leaving.size(); ++i)
+      shelf.moved.push_back(
+          {std::max(leaves_in(host.leaving[i], host.h, clock_), there), host.places[i], slot});
+  }
+  std::sort(shelf.moved.begin(), shelf.moved.end(),
+            [this](const Soon& a, const Soon& b) { return sooner(a, b); });
+  shelf.merged.clear();
+  shelf.end_at = shelf.wait_at = shelf.moved_at = shelf.head = 0;
+}
+
+/// The place that is free as the i-th; null where there are not so many. Merged no further than asked for.
+const Board::Soon* Board::soon_at(Shelf& shelf, std::size_t i) {
+  while (shelf.merged.size() <= i) {
+    const Soon* next = nullptr;
+    Soon ends{};
+    Soon waits{};
+    if (shelf.end_at < shelf.by_end.size()) {
+      const Entry& e = shelf.by_end[shelf.end_at];
+      ends = {Instant{Micros{e.key}} - clock_, e.place, e.host};
+      next = &ends;
+    }
+    if (shelf.wait_at < shelf.by_wait.size()) {
+      const Entry& e = shelf.by_wait[shelf.wait_at];
+      waits = {Micros{e.key}, e.place, e.host};
+      if (next == nullptr || sooner(waits, *next)) next = &waits;
+    }
+    if (shelf.moved_at < shelf.moved.size()) {
+      const Soon& moved = shelf.moved[shelf.moved_at];
+      if (next == nullptr || sooner(moved, *next)) next = &moved;
+    }
+    if (next == nullptr) return nullptr;
+    (next == &ends ? shelf.end_at : next == &waits ? shelf.wait_at : shelf.moved_at) += 1;
+    shelf.merged.push_back(*next);
+  }
+  return &shelf.merged[i];
+}
+
+std::uint32_t Board::View::within(Micros time, std::uint32_t tasks) const {
+  const auto end =
+      std::partition_point(places.begin(), places.end(), [&](const Soon& p) { return p.in <= time; });
+  return std::min(tasks, static_cast<std::uint32_t>(end - places.begin()));
+}
+
+/// The first `want` places that an array could have and none before it in this plan waits for.
+Board::View Board::view(const Job& j, std::uint32_t want) {
+  View out;
+  if (!j.shelved) return out;
+  Image& image = images_[j.image];
+  refresh(image, *j.job.spec);
+  Shelf& shelf = *image.shelf;
+  const Slot slot = live_jobs_[j.at];
+  for (std::size_t i = shelf.head; out.places.size() < want; ++i) {
+    const Soon* s = soon_at(shelf, i);
+    if (s == nullptr) break;
+    ++looked_.places;
+    const Later& p = places_[s->place];
+    if (p.taken == plans_) {
+      if (i == shelf.head) ++shelf.head;
+      continue;
+    }
+    if (j.job.spec->needs.fits(p.room) && admits(slot, p.kind)) out.places.push_back(*s);
+  }
+  return out;
+}
+
+// ---------------------------------------------------------------- jobs
+
+Board::Slot Board::new_job() {
+  if (free_jobs_.empty()) {
+    jobs_.emplace_back();
+    keys_.emplace_back();
+    standing_.emplace_back();
+    return static_cast<Slot>(jobs_.size() - 1);
+  }
+  const Slot slot = free_jobs_.back();
+  free_jobs_.pop_back();
+  return slot;
+}
+
+void Board::set_job(Slot slot, PlanJob job, const std::vector<Objective>& objectives) {
+  Job& j = jobs_[slot];
+  const bool was = j.there;
+  const std::uint32_t old_likes = j.likes;
+  const std::uint32_t old_image = j.image;
+  const bool old_shelved = j.shelved;
+  if (!was) {
+    j.at = live_jobs_.size();
+    live_jobs_.push_back(slot);
+  }
+  j.there = true;
+  j.job = std::move(job);
+  const JobSpec& spec = *j.job.spec;
+  j.aims = aims(j.job, objectives);
+  j.likes = likes_of(j.job);
+  j.image = image_of(spec.bundle);
+  // Places to come are told by their room alone, not by their devices.
+  j.shelved = spec.shape == Shape::sweep && spec.devices().empty();
+  ++images_[j.image].users;
+  if (j.shelved) ++images_[j.image].waiting;
+  const auto [team, added] = team_ids_.try_emplace(spec.owner, static_cast<std::uint32_t>(teams_.size()));
+  if (added) teams_.push_back(spec.owner);
+  j.team = team->second;
+  if (!was) return;
+  forget_likes(old_likes);
+  Image& image = images_[old_image];
+  --image.users;
+  if (old_shelved && --image.waiting == 0) image.shelf.reset();
+  leave_image(old_image);
+}
+
+void Board::drop_job(Slot slot) {
+  Job& j = jobs_[slot];
+  forget_likes(j.likes);
+  Image& image = images_[j.image];
+  --image.users;
+  if (j.shelved && --image.waiting == 0) image.shelf.reset();
+  leave_image(j.image);
+  live_jobs_[j.at] = live_jobs_.back();
+  jobs_[live_jobs_[j.at]].at = j.at;
+  live_jobs_.pop_back();
+  const bool listed = j.listed;
+  j = {};
+  j.listed = listed;
+  free_jobs_.push_back(slot);
+}
+
+/// Which jobs to give up on for now, so that the most jobs meet their next target: where the cores there are
+/// cannot serve all of one urgency in time, the largest of those that wait. By slot.
+std::vector<char> Board::overload(const Moment& m) {
+  struct Item {
+    Urgency urgency;
+    Micros spare;
+    Slot job;
+    double seconds;  ///< of all its waiting tasks, one after the other
+    double work;     ///< core seconds
+  };
+  std::vector<char> out(jobs_.size(), 0);
+  std::vector<Item> items;
+  items.reserve(live_jobs_.size());
+  for (const Slot slot : live_jobs_) {
+    const Job& j = jobs_[slot];
+    const JobSpec& spec = *j.job.spec;
+    const Slack sl = slack(j.aims, m.now);
+    if (sl.standing == Standing::late || sl.spare == Micros::max() || spec.shape != Shape::sweep) continue;
+    const double seconds = j.job.waiting * to_seconds(j.job.estimate);
+    items.push_back({spec.urgency, sl.spare, slot, seconds, seconds * from_amount(spec.needs.cores)});
+  }
+  std::sort(items.begin(), items.end(), [&](const Item& a, const Item& b) {
+    if (std::pair(a.urgency, a.spare) != std::pair(b.urgency, b.spare))
+      return std::pair(a.urgency, a.spare) < std::pair(b.urgency, b.spare);
+    return jobs_[a.job].job.spec->ref < jobs_[b.job].job.spec->ref;
+  });
+  for (const auto& [f, n] : m.coming) type_of(*f);
+  std::vector<double> cores(types_.size());
+  for (std::size_t t = 0; t < types_.size(); ++t) {
+    Amount sum = types_[t].cores;
+    for (const auto& [f, n] : m.coming) sum += f->name == types_[t].flavor->name ? n : 0;
+    cores[t] = from_amount(sum);
+  }
+  // By name, so that sums of fractions come out the same whatever was seen first.
+  std::vector<std::uint32_t> by_name;
+  for (const auto& [name, t] : type_ids_) by_name.push_back(t);
+  // The rule of Moore and Hodgson: take the jobs by their time to spare; where one comes too late, leave out
+  // the largest so far. Work is spread evenly over the types that serve it.
+  std::vector<double> waiting(types_.size(), 0);
+  const auto add = [&](const Item& item, double sign) {
+    Likes& likes = likes_[jobs_[item.job].likes];
+    learn_types(likes, jobs_[item.job].job);
+    double all = 0;
+    for (const std::uint32_t t : by_name) all += likes.serves[t] != 0 ? cores[t] : 0;
+    if (all <= 0) return 0.0;
+    double ahead = 0;
+    for (const std::uint32_t t : by_name) {
+      if (likes.serves[t] == 0) continue;
+      const double work = item.seconds * from_amount(likes.takes[t]);
+      waiting[t] += sign * work * cores[t] / all;
+      ahead += waiting[t];
+    }
+    return ahead / all;
+  };
+  // Those taken so far, the largest first and of those the earliest, by urgency and need.
+  struct Largest {
+    double work;
+    std::size_t item;
+    bool operator<(const Largest& o) const { return work != o.work ? work < o.work : item > o.item; }
+  };
+  std::map<std::tuple<Urgency, Amount, Amount, Amount>, std::priority_queue<Largest>> groups;
+  std::vector<char> left(items.size(), 0);
+  for (std::size_t i = 0; i < items.size(); ++i) {
+    const JobSpec& spec = *jobs_[items[i].job].job.spec;
+    auto& group = groups[{spec.urgency, spec.needs.cores, spec.needs.cards, spec.needs.memory}];
+    group.push({items[i].work, i});
+    if (add(items[i], 1) <= to_seconds(items[i].spare)) continue;
+    while (left[group.top().item] != 0) group.pop();
+    const std::size_t most = group.top().work > items[i].work ? group.top().item : i;
+    left[most] = 1;
+    add(items[most], -1);
+    out[items[most].job] = 1;
+  }
+  return out;
+}
+
+void Board::rank_jobs(const Moment& m) {
+  const std::vector<char> given_up = overload(m);
+  for (const Slot slot : live_jobs_) {
+    Job& j = jobs_[slot];
+    const std::int64_t accepted = j.job.accepted.time_since_epoch().count();
+    const std::int64_t due =
+        j.job.spec->due ? accepted + j.job.spec->due->count() : std::numeric_limits<std::int64_t>::max();
+    Slack sl = slack(j.aims, m.now);
+    standing_[slot] = sl.standing;
+    if (sl.standing == Standing::late) sl.left = Micros::max();
+    if (given_up[slot] != 0) sl = {Standing::late, sl.spare, sl.spare};
+    keys_[slot] = {j.job.spec->urgency, !j.job.guaranteed, sl.standing, sl.left, -rank(j.job), due, accepted};
+    if (j.listed) continue;
+    j.listed = true;
+    order_.push_back(slot);
+  }
+  std::erase_if(order_, [&](Slot slot) {
+    if (!jobs_[slot].there) jobs_[slot].listed = false;
+    return !jobs_[slot].there;
+  });
+  const auto before = [&](Slot a, Slot b) {
+    return keys_[a] != keys_[b] ? keys_[a] < keys_[b] : jobs_[a].job.spec->ref < jobs_[b].job.spec->ref;
+  };
+  if (!std::is_sorted(order_.begin(), order_.end(), before)) std::sort(order_.begin(), order_.end(), before);
+}
+
+std::vector<Board::Slot> Board::order(const Moment& m) {
+  rank_jobs(m);
+  return order_;
+}
+
+// ---------------------------------------------------------------- the steps of a plan
+
+const PlanHost& Board::now(Slot slot) const {
+  const auto it = booked_.find(slot);
+  return it == booked_.end() ? hosts_[slot].h : it->second;
+}
+
+PlanHost& Board::booked(Slot slot) {
+  return booked_.try_emplace(slot, hosts_[slot].h).first->second;
+}
+
+/// The machines for up to `want` tasks of the job, the best first.
+std::vector<Board::Candidate> Board::candidates(Slot slot, std::uint32_t want) {
+  const PlanJob& job = jobs_[slot].job;
+  const JobSpec& spec = *job.spec;
+  Likes& likes = likes_[jobs_[slot].likes];
+  std::vector<Candidate> out;
+  if (likes.none_in == plans_) return out;
+  bool some = false;
+  const std::uint32_t need = size_class(spec.needs);
+  const bool plain = booked_.empty();
+  for (const std::uint32_t k : admitted(slot)) {
+    for (const auto& [size, machines] : kinds_[k].roomy) {
+      if (!covers(size, need)) continue;
+      for (const std::uint32_t h : machines) {
+        const PlanHost& host = plain ? hosts_[h].h : now(h);
+        ++looked_.hosts;
+        if (count_fitting(spec.needs, host.free.room, 1) == 0) continue;
+        some = true;
+        const std::uint32_t fits = count_fitting(spec, host.free, want);
+        if (fits == 0) continue;
+        if (job.avoid != nullptr) {
+          const auto it = job.avoid->find(host.name);
+          if (it != job.avoid->end() && clock_ < it->second) continue;
+        }
+        if (job.layout && layout_allowance(*job.layout, host, spec.units, false) == 0) continue;
+        const std::optional<Micros> delay = burden(host, spec);
+        if (!delay) continue;
+        const Micros fetch = fetch_time(host, spec);
+        if (job.near_image && fetch * 2 > from_seconds(spec.image_gb / host.flavor->pull_gb_per_s)) continue;
+        out.push_back({h, fetch + run_time(host, job) + *delay, host.flavor->room.cores,
+                       host.stays     ? 0
+                       : host.standby ? 1
+                                      : 2,
+                       misfit(host, spec.needs), fits, fetch + *delay});
+      }
+    }
+  }
+  // Room only shrinks within a plan: what finds none now finds none later.
+  if (!some) likes.none_in = plans_;
+  std::sort(out.begin(), out.end(), [this](const Candidate& a, const Candidate& b) {
+    const auto ra = a.finish / kAlike;
+    const auto rb = b.finish / kAlike;
+    if (ra != rb) return ra < rb;
+    // A machine much larger than the task is better kept for what fits nowhere else.
+    if (a.size != b.size) return a.size < b.size;
+    // What stays for its services costs nothing more, and spot machines a fraction: what those can take
+    // leaves other ordinary ones empty, to be returned.
+    if (a.cost != b.cost) return a.cost < b.cost;
+    if (a.misfit != b.misfit) return a.misfit < b.misfit;
+    return hosts_[a.host].h.name < hosts_[b.host].h.name;
+  });
+  return out;
+}
+
+/// Where to try one after the other: a job that must stay together, and is nowhere yet, in each zone or
+/// domain by itself.
+std::vector<Board::Scope> Board::scopes(const PlanJob& job, const std::vector<Candidate>& found) const {
+  const bool zones = job.spec->same_place && job.zones.empty();
+  const bool domains = job.layout && job.layout->together >= 0 && job.layout->together_at.empty();
+  if (!zones && !domains) return {Scope{}};
+  std::vector<Scope> out;
+  for (const Candidate& c : found) {
+    const PlanHost& host = hosts_[c.host].h;
+    Scope s;
+    if (zones) s.zone = host.site;
+    if (domains) s.domain = host.domain(job.layout->together);
+    if (std::find(out.begin(), out.end(), s) == out.end()) out.push_back(std::move(s));
+  }
+  return out;
+}
+
+Board::Choice Board::choose(Slot slot, const std::vector<Candidate>& found, const View& view,
+                            std::uint32_t want, const Scope& scope, bool strict) const {
+  const PlanJob& job = jobs_[slot].job;
+  const JobSpec& spec = *job.spec;
+  const bool zoned = spec.same_place || spec.scatter;
+  std::map<std::string, std::uint32_t> zones = job.zones;
+  std::optional<PlanLayout> layout = job.layout;
+  std::vector<std::uint32_t> used(layout ? found.size() : 0, 0);
+  Choice out;
+  const auto pass = [&](bool prefers) {
+    for (std::size_t i = 0; i < found.size() && out.tasks < want; ++i) {
+      const Candidate& c = found[i];
+      const PlanHost& host = hosts_[c.host].h;
+      if (!scope.zone.empty() && host.site != scope.zone) continue;
+      if (scope.domain && (prefers || layout->together_must) &&
+          host.domain(layout->together) != *scope.domain)
+        continue;
+      std::uint32_t n = std::min(c.fits, want - out.tasks);
+      if (zoned) n = std::min(n, zone_allowance(spec, zones, host.site));
+      if (layout) n = std::min({n, c.fits - used[i], layout_allowance(*layout, host, spec.units, prefers)});
+      // Not those that will sooner have a place with the image.
+      if (c.fetch.count() > 0) n = std::min(n, want - out.tasks - view.within(c.fetch, want - out.tasks));
+      if (n == 0) continue;
+      out.places.push_back({slot, c.host, n});
+      if (zoned) zones[host.site] += n;
+      if (layout) {
+        layout_take(*layout, host, n);
+        used[i] += n;
+      }
+      out.tasks += n;
+    }
+  };
+  pass(true);
+  if (layout && !strict && out.tasks < want) pass(false);
+  return out;
+}
+
+/// A gang goes where all of it fits, a service that must stay together where most of it does, and an array
+/// where its first task is done the soonest.
+Board::Choice Board::best(Slot slot, const std::vector<Candidate>& found, const View& view,
+                          std::uint32_t want) const {
+  const PlanJob& job = jobs_[slot].job;
+  const std::vector<Scope> all = scopes(job, found);
+  const Shape shape = job.spec->shape;
+  Choice out;
+  if (shape == Shape::gang) {
+    for (const bool strict : {true, false}) {
+      if (!strict && !job.layout) break;
+      for (const Scope& s : all) {
+        Choice c = choose(slot, found, view, want, s, strict);
+        if (c.tasks == want) return c;
+      }
+    }
+    return out;
+  }
+  for (const Scope& s : all) {
+    Choice c = choose(slot, found, view, want, s, false);
+    if (c.tasks > out.tasks || out.places.empty()) out = std::move(c);
+    if (shape != Shape::daemon || !s.domain) break;
+  }
+  return out;
+}
+
+/// What was chosen takes its room, and its image is on its way.
+void Board::book(const Choice& choice, const JobSpec& spec) {
+  for (const Placement& p : choice.places) {
+    PlanHost& host = booked(p.host);
+    host.free.take(spec, p.tasks);
+    if (!cached(host, spec.bundle) && pull_of(host, spec.bundle) == nullptr)
+      host.pulls.push_back({spec.bundle, spec.image_gb, spec.urgency});
+    file_room(p.host, host.free.room);
+  }
+}
+
+/// Keeps places for a gang that must start soon: on the machines where all its tasks fit the soonest, what is
+/// free now and what becomes free until then is not given to jobs behind it. Without this, small tasks take
+/// every place as it comes, and a gang waits for room that several of them would have to leave at once.
+void Board::reserve(Slot slot) {
+  const PlanJob& job = jobs_[slot].job;
+  const JobSpec& spec = *job.spec;
+  struct Fit {
+    Micros in;
+    Slot host;
+  };
+  std::map<std::pair<std::string, topology::DomainId>, std::vector<Fit>> groups;
+  const bool apart = job.layout && job.layout->together >= 0 && job.layout->together_must;
+  for (Slot h = 0; h < hosts_.size(); ++h) {
+    const Host& host = hosts_[h];
+    if (!host.there || !admits(slot, host.kind) || !burden(host.h, spec)) continue;
+    if (job.layout && layout_allowance(*job.layout, host.h, spec.units, false) == 0) continue;
+    ++looked_.hosts;
+    const Micros fetch = fetch_time(host.h, spec);
+    auto& fits =
+        groups[{spec.same_place ? host.h.site : "", apart ? host.h.domain(job.layout->together) : 0}];
+    Free free = host.h.free;
+    std::uint32_t here = 0;
+    const auto add = [&](Micros in) {
+      // No more than the gang has: a task that needs nothing would fit for ever.
+      for (; here < job.waiting && count_fitting(spec, free, 1) > 0; free.take(spec, 1), ++here)
+        fits.push_back({in + fetch, h});
+    };
+    add(Micros{0});
+    std::vector<std::pair<Micros, std::size_t>> leaving;
+    for (std::size_t i = 0; i < host.leaving.size(); ++i) {
+      const Micros in = leaves_in(host.leaving[i], host.h, clock_);
+      if (places_[host.places[i]].taken != plans_ && in <= kReserve) leaving.emplace_back(in, i);
+    }
+    std::sort(leaving.begin(), leaving.end());
+    for (const auto& [in, i] : leaving) {
+      free.room += host.leaving[i].needs;
+      add(in);
+    }
+  }
+  std::vector<Fit> best;
+  for (auto& [group, fits] : groups) {
+    std::sort(fits.begin(), fits.end(), [&](const Fit& a, const Fit& b) {
+      return a.in != b.in ? a.in < b.in : hosts_[a.host].h.name < hosts_[b.host].h.name;
+    });
+    std::optional<PlanLayout> layout = job.layout;
+    std::vector<Fit> chosen;
+    for (const Fit& f : fits) {
+      if (chosen.size() == job.waiting) break;
+      if (layout && layout_allowance(*layout, hosts_[f.host].h, spec.units, false) == 0) continue;
+      if (layout) layout_take(*layout, hosts_[f.host].h, 1);
+      chosen.push_back(f);
+    }
+    if (chosen.size() == job.waiting && (best.empty() || chosen.back().in < best.back().in))
+      best = std::move(chosen);
+  }
+  for (const Fit& f : best) {
+    booked(f.host).free = {};
+    file_room(f.host, {});
+    for (const std::uint32_t p : hosts_[f.host].places) places_[p].taken = plans_;
+  }
+}
+
+void Board::end_plan() {
+  for (const auto& [slot, host] : booked_) file_room(slot, hosts_[slot].h.free.room);
+  booked_.clear();
+}
+
+Plan Board::plan(const Moment& m) {
+  Plan plan;
+  ++plans_;
+  looked_ = {};
+  settle(m.clock);
+  rank_jobs(m);
+  struct Budget {
+    const Team* team = nullptr;
+    Needs used;
+  };
+  std::vector<Budget> budgets(teams_.size());
+  for (std::size_t t = 0; t < teams_.size(); ++t) {
+    budgets[t].team = m.settings->team(teams_[t]);
+    if (const auto it = m.teams->find(teams_[t]); it != m.teams->end()) budgets[t].used = it->second;
+  }
+  for (const Slot slot : order_) {
+    const Job& j = jobs_[slot];
+    const JobSpec& spec = *j.job.spec;
+    ++looked_.jobs;
+    const bool gang = spec.shape == Shape::gang;
+    Budget& budget = budgets[j.team];
+    const std::uint32_t want =
+        count_fitting(spec.needs, ceiling_left(budget.team, budget.used), j.job.waiting);
+    if (want == 0 || (gang && want < j.job.waiting)) continue;
+    const bool pressed = standing_[slot] == Standing::pressed;
+    const View places = view(j, want);
+    const std::vector<Candidate> found = candidates(slot, want);
+    const Choice choice = found.empty() ? Choice{} : best(slot, found, places, want);
+    book(choice, spec);
+    plan.placements.insert(plan.placements.end(), choice.places.begin(), choice.places.end());
+    std::uint32_t placed = choice.tasks;
+    if (gang && placed == 0 && pressed) reserve(slot);
+    // What is short counts against the ceiling too: it will be used as soon as there is room.
+    budget.used += spec.needs * want;
+    const std::uint32_t taken = std::min(want - placed, static_cast<std::uint32_t>(places.places.size()));
+    for (std::uint32_t i = 0; i < taken; ++i) places_[places.places[i].place].taken = plans_;
+    // Those with a place in view are short all the same where they are pressed: it may go to others.
+    if (!pressed) placed += taken;
+    if (placed < want) plan.shortages.push_back({slot, want - placed, pressed ? taken : 0});
+  }
+  end_plan();
+  return plan;
+}
+
+void Board::clear() {
+  // Plans go on being counted: a mark of an earlier one must not pass for one of the next.
+  const std::uint64_t plans = plans_;
+  *this = Board{};
+  plans_ = plans;
+}
+
+}  // namespace wrenusher::planner
--- a/src/planner/include/wrenusher/planner/planner.hpp
+++ b/src/planner/include/wrenusher/planner/planner.hpp
@@ -1,6 +1,7 @@
 #pragma once
-// Package planner: pure functions, a snapshot in, decisions out. Rank, order and place are the paper's
-// (section IV.B). It owns no state. It may depend on base, settings and protocol.
+// Package planner: decides what runs where, by the paper's rank, order and place (section IV.B). Here are its
+// pure functions; Board keeps what they look at in indexes. It knows neither claims nor clocks. It may depend
+// on base, settings, protocol and topology.
 
 #include <map>
 #include <optional>
@@ -10,6 +11,7 @@
 
 #include "wrenusher/protocol/messages.hpp"
 #include "wrenusher/settings/settings.hpp"
+#include "wrenusher/topology/topology.hpp"
 
 namespace wrenusher::planner {
 
@@ -17,6 +19,20 @@
 using namespace settings;
 using namespace protocol;
 
+/// A job's layout under the topology in force.
+struct PlanLayout {
+  bool impossible = false;  ///< it insists on a level that the topology has not
+  int spread = -1;          ///< level; -1: none
+  std::uint32_t most = 0;   ///< tasks in one domain of that level
+  bool spread_must = true;
+  int together = -1;
+  bool together_must = true;
+  /// The tasks that may be on machines now, by domain.
+  std::map<topology::DomainId, std::uint32_t> spread_at;
+  std::map<topology::DomainId, std::uint32_t> together_at;
+  bool operator==(const PlanLayout&) const = default;
+};
+
 struct PlanJob {
   const JobSpec* spec = nullptr;
   std::uint32_t waiting = 0;
@@ -36,6 +52,8 @@
   std::set<std::string> keep_off;
   /// Types that are not rented for the job for the same reason, though it may use them where they are.
   std::set<std::string> no_rent;
+  std::optional<PlanLayout> layout;
+  bool operator==(const PlanJob&) const = default;
 };
 
 /// An image on its way to a machine.
@@ -43,6 +61,16 @@
   std::string bundle;
   double left_gb = 0;
   Urgency urgency = Urgency::low;  ///< of the most urgent task that waits for it
+  bool operator==(const Pull&) const = default;
+};
+
+/// What no claim has booked of a machine.
+struct Free {
+  Needs room;
+  std::map<std::string, std::uint32_t> devices;
+  bool operator==(const Free&) const = default;
+  void take(const JobSpec& spec, std::uint32_t tasks);
+  void give(const JobSpec& spec);
 };
 
 struct PlanHost {
@@ -51,52 +79,38 @@
   const Flavor* flavor = nullptr;
   bool standby = false;
   bool stays = false;  ///< it runs services, and so is paid whatever else it does
-  Needs room;          ///< what no claim has booked
+  Free free;
   double speed = 1.0;
   std::vector<Pull> pulls;                                       ///< under way, sharing the machine's rate
   const std::map<std::string, std::uint64_t>* images = nullptr;  ///< cached
+  const topology::Place* place = nullptr;                        ///< null: no topology
+  bool guarded = false;                                          ///< others want a device of it: left to them
+  bool operator==(const PlanHost&) const = default;
+  topology::DomainId domain(int level) const {
+    return place == nullptr ? topology::kNowhere : place->at(level);
+  }
 };
 
-/// A machine, with room or without, and when the tasks on it will leave their places.
-struct Later {
-  struct Place {
-    Micros in{};
-    Needs needs;
-    bool taken = false;  ///< by a task that waits for it, in this plan
-  };
-  PlanHost host;
-  std::vector<Place> places;
+/// A task that will leave its place: at a time, or so long from now however late it is now.
+struct Leaving {
+  Needs needs;
+  std::optional<Instant> end;  ///< nothing: `in` from now
+  Micros in{};                 ///< at least this long from now
+  /// Its own image is still to come: as long again as its fetch takes. Null: it is there.
+  const JobSpec* fetches = nullptr;
+  bool operator==(const Leaving&) const = default;
 };
 
+/// What `preempt` looks at.
 struct Snapshot {
   WallTime now{};
   Instant clock{};
   std::vector<PlanJob> jobs;
   std::vector<PlanHost> hosts;
-  std::vector<Later> later;               ///< looked at only for arrays that wait
-  std::map<std::string, Needs> teams;     ///< what each team's claims use
-  std::map<const Flavor*, Amount> cores;  ///< of all machines, with room or without, here or on their way
+  std::map<std::string, Needs> teams;  ///< what each team's claims use
   const Settings* settings = nullptr;
 };
 
-struct Placement {
-  std::size_t job = 0;
-  std::size_t host = 0;
-  std::uint32_t tasks = 0;
-};
-
-/// Tasks that their team's ceiling would allow now, but for which no machine has room.
-struct Shortage {
-  std::size_t job = 0;
-  std::uint32_t tasks = 0;
-  std::uint32_t soon = 0;  ///< of them have a place in view on a machine with their image
-};
-
-struct Plan {
-  std::vector<Placement> placements;
-  std::vector<Shortage> shortages;
-};
-
 /// The times by which the job should be over, from its acceptance and in rising order: the aims of its class
 /// in the settings, or its own due time.
 std::vector<Micros> targets(const JobSpec& spec, const std::vector<Objective>& objectives);
@@ -107,6 +121,16 @@
   std::uint32_t unfinished = 0;
   WallTime accepted{};
 };
+/// Tells of one job after the other, in the order of their acceptance, which fit into their team's guarantee.
+class Guarantees {
+ public:
+  explicit Guarantees(const Settings& settings) : settings_(settings) {}
+  bool fits(const JobSpec& spec, std::uint32_t unfinished);
+
+ private:
+  const Settings& settings_;
+  std::map<std::string, Needs> sums_;
+};
 /// Which jobs fit into their team's guarantee together with the team's earlier ones: they need not wait for
 /// other teams. A job that does not fit as a whole has no claim to go first.
 std::vector<bool> guaranteed(std::vector<TeamJob> jobs, const Settings& settings);
@@ -123,6 +147,11 @@
   Micros spare{};  ///< how long it may still wait, pressed or not; the longest time there is without a target
 };
 Slack slack(const PlanJob& job, WallTime now, const std::vector<Objective>& objectives);
+/// By when the job must start to meet each of its targets, in rising order, and how far beyond that it is not
+/// given up: `slack` for a job that does not change.
+using Aims = std::vector<std::pair<WallTime, Micros>>;
+Aims aims(const PlanJob& job, const std::vector<Objective>& objectives);
+Slack slack(const Aims& aims, WallTime now);
 
 /// Equation (2) of the paper. The protocol names no successors, so each job is a graph of one task and the
 /// maximum over its successors is 0.
@@ -139,14 +168,39 @@
 bool fits_flavor(const JobSpec& spec, const Flavor& f);
 /// The types on which a task of the job could run at all.
 std::set<std::string> fitting_flavors(const JobSpec& spec, const Catalog& catalog);
-/// Which jobs to give up on for now, so that the most jobs meet their next target: where the cores there are
-/// cannot serve all of one urgency in time, the largest of those that wait.
-std::vector<bool> overload(const Snapshot& s);
-/// The jobs in the order in which they are served.
-std::vector<std::size_t> order(const Snapshot& s);
-/// Among machines with room now the least finish. A task of an array is left waiting instead where, by the
-/// estimates, a place on a machine that has its image becomes free before the image could be fetched here.
-Plan place(Snapshot s);
+/// Whether the job may and will use the machine, room or not.
+bool open_to(const PlanHost& host, const PlanJob& job);
+/// Whether the machine has the image.
+bool cached(const PlanHost& host, const std::string& bundle);
+/// The machine's fetch of the image; null where there is none.
+const Pull* pull_of(const PlanHost& host, const std::string& bundle);
+/// How many tasks of the job would fit, their devices included.
+std::uint32_t count_fitting(const JobSpec& spec, const Free& free, std::uint32_t most);
+/// How many more tasks of the job its layout allows on the machine. Without `prefers` only what it insists on
+/// counts.
+std::uint32_t layout_allowance(const PlanLayout& l, const PlanHost& host, std::uint32_t units, bool prefers);
+/// So many tasks of the job are on the machine besides.
+void layout_take(PlanLayout& l, const PlanHost& host, std::uint32_t tasks);
+/// A place is free this long from now.
+Micros leaves_in(const Leaving& l, const PlanHost& host, Instant now);
+
+/// Finish times closer than this count as equal: estimates are off by far more, and among equals the machine
+/// that the task fills best is taken, so that large tasks keep whole machines.
+inline constexpr Micros kAlike = from_seconds(5);
+/// Places are kept for a gang where it can start within this time.
+inline constexpr Micros kReserve = from_seconds(20);
+/// How much of the machine stays unused by tasks of this need, from 0 to 1: the more, the worse the fit.
+double misfit(const PlanHost& host, const Needs& need);
+/// What is left of a team's ceiling; nothing for a team that is not known.
+Needs ceiling_left(const Team* team, const Needs& used);
+
+/// Tasks that their team's ceiling would allow now, but for which no machine has room.
+struct Shortage {
+  std::size_t job = 0;
+  std::uint32_t tasks = 0;
+  std::uint32_t soon = 0;  ///< of them have a place in view on a machine with their image
+  bool operator==(const Shortage&) const = default;
+};
 
 /// A task that has a place now and might be stopped for a job of higher urgency.
 struct Running {
--- a/src/protocol/include/wrenusher/protocol/messages.hpp
+++ b/src/protocol/include/wrenusher/protocol/messages.hpp
@@ -45,6 +45,31 @@
   bool operator==(const Needs&) const = default;
 };
 
+/// Where a job's tasks may be in the tree of failure domains, and the named devices each of them needs. An
+/// extension of PROTOCOL that operators switch on with a topology.
+struct Layout {
+  /// At most so many of the tasks in any one domain of the level.
+  struct Spread {
+    std::string level;
+    std::uint32_t most = 0;  ///< a count; 0: a share
+    double share = 0;        ///< of all the job's tasks, rounded up
+    bool must = true;        ///< or only where nothing else is lost by it
+    bool operator==(const Spread&) const = default;
+    /// How many of a job of so many tasks.
+    std::uint32_t limit(std::uint32_t units) const;
+  };
+  /// All tasks in one domain of the level.
+  struct Together {
+    std::string level;
+    bool must = true;
+    bool operator==(const Together&) const = default;
+  };
+  std::optional<Spread> spread;
+  std::optional<Together> together;
+  std::map<std::string, std::uint32_t> devices;  ///< what each task needs
+  bool operator==(const Layout&) const = default;
+};
+
 /// A job as its user described it.
 struct JobSpec {
   std::string ref;
@@ -65,7 +90,10 @@
   Micros snapshot_every{};
   Micros snapshot{};
   std::optional<Micros> due;
+  std::optional<Layout> layout;
 
+  /// What each task needs of named devices; empty for most.
+  const std::map<std::string, std::uint32_t>& devices() const;
   bool saves() const { return snapshot_every.count() > 0; }
   bool allows(const std::string& flavor, const std::string& zone, bool spot) const;
   bool operator==(const JobSpec&) const = default;
@@ -129,6 +157,7 @@
   double low_price = 0;
   Micros boot{};
   std::vector<std::string> sites;
+  bool operator==(const Flavor&) const = default;
 };
 using Catalog = std::map<std::string, Flavor>;
 std::optional<Catalog> read_catalog(const Value& v);
--- a/src/protocol/messages.cpp
+++ b/src/protocol/messages.cpp
@@ -11,6 +11,8 @@
 
 constexpr double kMostAmount = 1e9;
 constexpr double kMostSeconds = 1e9;
+constexpr std::size_t kMostDevices = 16;
+constexpr std::uint64_t kMostOfADevice = 1000;
 
 std::optional<double> amount(const Value& v, double most) {
   const auto n = v.number();
@@ -83,6 +85,16 @@
   return flavors.empty() || std::find(flavors.begin(), flavors.end(), flavor) != flavors.end();
 }
 
+std::uint32_t Layout::Spread::limit(std::uint32_t units) const {
+  if (most > 0) return most;
+  return std::max(1U, static_cast<std::uint32_t>(std::ceil(share * units - 1e-9)));
+}
+
+const std::map<std::string, std::uint32_t>& JobSpec::devices() const {
+  static const std::map<std::string, std::uint32_t> kNone;
+  return layout ? layout->devices : kNone;
+}
+
 bool valid_ref(std::string_view ref) {
   if (!ref.starts_with("req-") || ref.size() < 5 || ref.size() > 64) return false;
   return std::all_of(ref.begin() + 4, ref.end(), [](char c) { return c >= '0' && c <= '9'; });
@@ -113,7 +125,8 @@
   Micros seconds(const char* field) { return from_seconds(number(field, kMostSeconds)); }
   void fail(const char* field, const char* what) {
     if (!fault_.field.empty()) return;
-    fault_ = {field, v_[field].is_null() ? std::string("is missing; it ") + what : what};
+    const bool there = !v_[std::string_view(field).substr(0, std::string_view(field).find('.'))].is_null();
+    fault_ = {field, there ? what : std::string("is missing; it ") + what};
   }
   bool good() const { return fault_.field.empty(); }
   const Fault& fault() const { return fault_; }
@@ -123,6 +136,82 @@
   Fault fault_;
 };
 
+/// Fields that a map may have and no others: a layout that is misspelt must not pass for none.
+bool only(const Value& v, std::initializer_list<std::string_view> known) {
+  return v.map() != nullptr && std::all_of(v.map()->begin(), v.map()->end(), [&](const Value::Field& f) {
+           return std::find(known.begin(), known.end(), f.first) != known.end();
+         });
+}
+
+std::optional<Layout> read_layout(const Value& v, SpecReader& in) {
+  Layout out;
+  const auto must = [](const Value& part) -> std::optional<bool> {
+    if (part["must"].is_null()) return true;
+    return part["must"].boolean();
+  };
+  if (!only(v, {"spread", "together", "devices"})) {
+    in.fail("layout", "must be a map of spread, together and devices");
+    return std::nullopt;
+  }
+  if (const Value& s = v["spread"]; !s.is_null()) {
+    const std::string* level = name(s["level"]);
+    const auto most = s["most"].count();
+    const auto share = s["share"].number();
+    const bool limit = s["most"].is_null() ? share && *share > 0 && *share <= 1
+                                           : s["share"].is_null() && most && *most >= 1 && *most <= kMaxUnits;
+    if (!only(s, {"level", "most", "share", "must"}) || level == nullptr || !limit || !must(s)) {
+      in.fail(
+          "layout.spread",
+          "must be a map of level, most (1 to 100000) or share (above 0, to 1), and must (true or false)");
+      return std::nullopt;
+    }
+    out.spread = {*level, static_cast<std::uint32_t>(most.value_or(0)), share.value_or(0), *must(s)};
+  }
+  if (const Value& t = v["together"]; !t.is_null()) {
+    const std::string* level = name(t["level"]);
+    if (!only(t, {"level", "must"}) || level == nullptr || !must(t)) {
+      in.fail("layout.together", "must be a map of level and must (true or false)");
+      return std::nullopt;
+    }
+    out.together = {*level, *must(t)};
+  }
+  if (const Value& d = v["devices"]; !d.is_null()) {
+    bool good = d.map() != nullptr && d.map()->size() <= kMostDevices;
+    for (std::size_t i = 0; good && i < d.map()->size(); ++i) {
+      const auto& [device, n] = (*d.map())[i];
+      const auto count = n.count();
+      good = !device.empty() && device.size() <= 200 && count && *count >= 1 && *count <= kMostOfADevice;
+      if (good) out.devices[device] = static_cast<std::uint32_t>(*count);
+    }
+    if (!good) {
+      in.fail("layout.devices", "must be a map of 16 names at most, each with a count from 1 to 1000");
+      return std::nullopt;
+    }
+  }
+  return out;
+}
+
+Value write_layout(const Layout& l) {
+  Value::Map out;
+  if (l.spread) {
+    Value::Map s{{"level", l.spread->level}, {"must", l.spread->must}};
+    if (l.spread->most > 0) {
+      s.emplace_back("most", std::uint64_t{l.spread->most});
+    } else {
+      s.emplace_back("share", l.spread->share);
+    }
+    out.emplace_back("spread", std::move(s));
+  }
+  if (l.together)
+    out.emplace_back("together", Value::Map{{"level", l.together->level}, {"must", l.together->must}});
+  if (!l.devices.empty()) {
+    Value::Map d;
+    for (const auto& [device, n] : l.devices) d.emplace_back(device, std::uint64_t{n});
+    out.emplace_back("devices", std::move(d));
+  }
+  return out;
+}
+
 }  // namespace
 
 std::optional<JobSpec> read_spec(const Value& v, Fault* fault) {
@@ -167,6 +256,7 @@
   }
   if (!v["site"].is_null()) s.site = in.text("site");
   if (!v["due_s"].is_null()) s.due = in.seconds("due_s");
+  if (const Value& l = v["layout"]; !l.is_null()) s.layout = read_layout(l, in);
   if (in.good()) return s;
   if (fault != nullptr) *fault = in.fault();
   return std::nullopt;
@@ -195,6 +285,7 @@
   if (!flavors.empty()) m.emplace_back("flavors", std::move(flavors));
   if (!s.site.empty()) m.emplace_back("site", s.site);
   if (s.due) m.emplace_back("due_s", to_seconds(*s.due));
+  if (s.layout) m.emplace_back("layout", write_layout(*s.layout));
   return m;
 }
 
--- a/src/provisioner/include/wrenusher/provisioner/provisioner.hpp
+++ b/src/provisioner/include/wrenusher/provisioner/provisioner.hpp
@@ -66,6 +66,16 @@
     int tries = 0;
   };
 
+  /// What was last rented for a job's layout.
+  struct LayoutTry {
+    std::uint32_t tasks = 0;
+    Instant not_before{};
+    Micros pause{};
+  };
+
+  static bool reaches(const Workload::Demand& d, const Kind& kind);
+  bool may_rent(const Workload::Demand& d) const;
+  void rented_for(const Workload::Demand& d);
   void tick();
   void pump();
   void cloud(Request request, bool first, std::function<void(const Outcome&)> done);
@@ -118,6 +128,7 @@
   std::map<std::string, Machine> machines_;
   std::map<std::string, std::deque<Instant>> silences_;  ///< by zone: when machines were found silent
   std::map<std::string, Instant> lost_until_;            ///< zones of which no machine is heard
+  std::map<std::string, LayoutTry> layouts_;             ///< by job
   std::set<std::string> to_return_;
   std::set<std::string> gone_;  ///< given back in this term
   accounts::Money money_;
--- a/src/provisioner/provisioner.cpp
+++ b/src/provisioner/provisioner.cpp
@@ -10,6 +10,9 @@
 
 namespace {
 
+/// Between two rentals for a layout that the last ones did not serve.
+constexpr Micros kLeastUseless = from_seconds(60);
+constexpr Micros kMostUseless = from_seconds(600);
 constexpr Micros kTick = millis(500);
 constexpr Micros kTimeout = from_seconds(5);
 constexpr Micros kListEvery = from_seconds(4);
@@ -471,6 +474,31 @@
   capacity(seen);
 }
 
+/// A machine of this kind could serve the demand's layout, as far as can be told.
+bool Provisioner::reaches(const Workload::Demand& d, const Kind& kind) {
+  return !d.reach || d.reach->contains({kind.flavor, kind.site});
+}
+
+/// Where a layout is short, the machines that come may turn out to stand in the wrong domain. What was rented
+/// for it gets the time to come and be used before more is rented.
+bool Provisioner::may_rent(const Workload::Demand& d) const {
+  const auto it = layouts_.find(d.spec.ref);
+  return it == layouts_.end() || rt_.now() >= it->second.not_before;
+}
+
+void Provisioner::rented_for(const Workload::Demand& d) {
+  if (!d.reach) return;
+  LayoutTry& t = layouts_[d.spec.ref];
+  // As short as before: what came was of no use, and goes to other work. Less and less often, then.
+  const bool useless = t.tasks > 0 && d.tasks >= t.tasks;
+  t.pause = useless ? std::clamp(t.pause * 2, kLeastUseless, kMostUseless) : Micros{0};
+  t.tasks = d.tasks;
+  Micros boot{0};
+  for (const auto& [name, f] : *catalog_) boot = std::max(boot, patience(name));
+  t.not_before = rt_.now() + boot + t.pause;
+  std::erase_if(layouts_, [&](const auto& l) { return rt_.now() - l.second.not_before > kMostUseless; });
+}
+
 void Provisioner::plan_rentals() {
   const Instant now = rt_.now();
   if (catalog_) tell_capacity();
@@ -543,7 +571,7 @@
     std::uint32_t left = d.tasks;
     const auto fill = [&](Bin& bin) {
       if (left == 0 || !d.spec.allows(bin.kind.flavor, bin.kind.site, bin.kind.standby) ||
-          d.keep_off.contains(bin.kind.flavor)) {
+          d.keep_off.contains(bin.kind.flavor) || !reaches(d, bin.kind)) {
         return;
       }
       const std::uint32_t n = planner::count_fitting(d.spec.needs, bin.room, left);
@@ -551,6 +579,8 @@
       left -= n;
     };
     for (Bin& bin : bins) fill(bin);
+    if (left > 0 && !may_rent(d)) continue;
+    const std::uint32_t unserved = left;
     while (left > 0) {
       const Kind* best = nullptr;
       Kind kind;
@@ -565,7 +595,7 @@
         for (const std::string& site : f.sites) {
           for (const bool standby : {true, false}) {
             kind = {name, site, standby};
-            if (!d.spec.allows(name, site, standby)) continue;
+            if (!d.spec.allows(name, site, standby) || !reaches(d, kind)) continue;
             if (refused(kind)) continue;
             if (!standby && now < ordinary_not_before_) continue;
             if (!standby && d.spec.standby && left <= in_time) continue;
@@ -586,6 +616,7 @@
       bins.back().room -= d.spec.needs * best_per;
       left -= std::min(left, best_per);
     }
+    if (left < unserved) rented_for(d);
   }
   for (const auto& [kind, n] : wanted) book(kind, n);
 }
--- a/src/reports/reports.cpp
+++ b/src/reports/reports.cpp
@@ -20,13 +20,7 @@
     log::info("machine_tenure", "machine {machine} began tenure {tenure}: its tasks are gone",
               log::with("machine", r.host), log::with("tenure", r.tenure));
   const bool was_usable = m.usable();
-  m.flavor = r.flavor;
-  m.site = r.site;
-  m.standby = r.standby;
-  m.tenure = r.tenure;
-  m.current = current;
-  m.quiet = false;
-  m.warned = r.warning.has_value();
+  machines_.seen(m, r, current);
   Taken out;
   out.usable_changed = m.usable() != was_usable;
   const std::uint64_t mark = ++reports_;
@@ -57,7 +51,7 @@
     Claim& c = job->claims.at(u.task);
     c.shown = mark;
     show(*job, c, m, u);
-    if (job->rec.withdrawn) c.halt = true;
+    if (job->rec.withdrawn && !c.halt) book_.stop(c, c.leeway);
   }
 }
 
@@ -77,6 +71,7 @@
       if (u.cause == "error") fail_task(*job, m, u, out);
       if (u.cause == "no_room" || u.cause == "in_use") {
         m.full_until = rt_.now() + kNoRoomPause;
+        machines_.touch(m);
         log::info("start_refused", "machine {machine} refused {task}: {reason}", log::with("machine", r.host),
                   log::with("task", unit_name(u.ref, u.task)), log::with("reason", u.cause));
       }
@@ -119,7 +114,7 @@
   if (phase == Phase::pulling && c.pulling_since == Instant{}) c.pulling_since = now;
   if (phase == Phase::gathering && c.gathering_since == Instant{}) c.gathering_since = now;
   if (phase == Phase::pulling && !c.pulls) {
-    Machines::lose_image(m, job.spec());
+    machines_.lose_image(m, job.spec());
     book_.begin_pull(job, c);
   } else if (phase != Phase::pulling && phase != c.phase) {
     if (phase == Phase::running) {
@@ -195,8 +190,7 @@
     if (spec.shape == Shape::gang) {
       for (auto& [host, list] : book_.halt(*job, leeway)) out.halts.push_back({host, std::move(list)});
     } else {
-      c.halt = true;
-      c.leeway = leeway;
+      book_.stop(c, leeway);
     }
     log::debug("task_leaves", "task {task} leaves {machine} before it is taken",
                log::with("task", unit_name(spec.ref, task)), log::with("machine", m.name));
--- a/src/settings/include/wrenusher/settings/settings.hpp
+++ b/src/settings/include/wrenusher/settings/settings.hpp
@@ -41,6 +41,7 @@
   Micros idle_return = from_seconds(30);
   double silent_reports = 2.5;
   double slow_boot_factor = 2.5;
+  std::string topology;  ///< path of the operators' map of failure domains; empty: none
 };
 
 struct Settings {
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -4,11 +4,13 @@
 
 #include <cmath>
 #include <cstdlib>
-#include <fstream>
+#include <filesystem>
 #include <nlohmann/json.hpp>
 #include <set>
 #include <sstream>
 
+#include "wrenusher/fields/fields.hpp"
+
 namespace wrenusher::settings {
 
 namespace {
@@ -16,11 +18,9 @@
 using nlohmann::json;
 
 std::string read_file(const std::string& path) {
-  std::ifstream in(path, std::ios::binary);
-  std::stringstream text;
-  if (in) text << in.rdbuf();
-  if (!in || text.bad()) throw SettingsError(path + ": cannot be read");
-  return text.str();
+  auto text = fields::read_file(path);
+  if (!text) throw SettingsError(path + ": cannot be read");
+  return *std::move(text);
 }
 
 /// A place in the settings that knows its own name, so that every complaint names the field.
@@ -188,8 +188,8 @@
     }
     return x;
   };
-  static const std::set<std::string> known = {"hold_s", "round_s", "idle_return_s", "silent_reports",
-                                              "slow_boot_factor"};
+  static const std::set<std::string> known = {"hold_s",         "round_s",          "idle_return_s",
+                                              "silent_reports", "slow_boot_factor", "topology"};
   for (const auto& entry : root) {
     const auto name = entry.first.as<std::string>("");
     if (!known.contains(name)) throw SettingsError("tunables: " + name + ": is not known");
@@ -199,11 +199,19 @@
   t.idle_return = from_seconds(number("idle_return_s", 0, 3600, to_seconds(t.idle_return)));
   t.silent_reports = number("silent_reports", 2, 1000, t.silent_reports);
   t.slow_boot_factor = number("slow_boot_factor", 1, 100, t.slow_boot_factor);
+  if (const YAML::Node n = root["topology"]; n && !n.IsNull()) {
+    if (!n.IsScalar() || n.Scalar().empty()) throw SettingsError("tunables: topology: must be a path");
+    t.topology = n.Scalar();
+  }
   return t;
 }
 
 Tunables load_tunables(const std::string& path) {
-  return parse_tunables(read_file(path));
+  Tunables t = parse_tunables(read_file(path));
+  // Beside the tunables, wherever the daemon is started from.
+  if (!t.topology.empty())
+    t.topology = (std::filesystem::path(path).parent_path() / t.topology).lexically_normal().string();
+  return t;
 }
 
 }  // namespace wrenusher::settings
--- /dev/null
+++ b/src/survey/include/wrenusher/survey/survey.hpp
@@ -0,0 +1,41 @@
+#pragma once
+// Package survey: reads the operators' topology, at the start and whenever its file changes. It owns what was
+// last read: a newer version is read, checked whole, and told; one that cannot be read or has a mistake is
+// refused with its reason, and what was read before stands. It may depend on base, topology and mail.
+
+#include <functional>
+#include <optional>
+
+#include "wrenusher/base/runtime.hpp"
+#include "wrenusher/mail/mail.hpp"
+
+namespace wrenusher::survey {
+
+using namespace base;
+using namespace mail;
+
+/// The text of a file; nothing where it cannot be read.
+using Reader = std::function<std::optional<std::string>(const std::string& path)>;
+
+class Survey {
+ public:
+  /// An empty path: there is no topology.
+  Survey(Runtime& rt, std::string path, Reader reader)
+      : rt_(rt), path_(std::move(path)), reader_(std::move(reader)) {}
+  void start();
+
+  Sink<TopologyRead> read;
+
+ private:
+  void look();
+  void refuse(const std::string& why);
+
+  Runtime& rt_;
+  std::string path_;
+  Reader reader_;
+  std::string text_;  ///< as it was last looked at, taken or not
+  bool unreadable_ = false;
+  topology::Edition taken_;
+};
+
+}  // namespace wrenusher::survey
--- /dev/null
+++ b/src/watch/include/wrenusher/watch/watch.hpp
@@ -0,0 +1,67 @@
+#pragma once
+// Package watch: recognises that a whole failure domain fell silent, as one event, and how far it is to be
+// trusted once it is heard again. It owns that judgement by domain and nothing else: who is heard is told to
+// it, and what follows from it is for others. It may depend on base and topology.
+
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "wrenusher/base/time.hpp"
+#include "wrenusher/topology/topology.hpp"
+
+namespace wrenusher::watch {
+
+using namespace base;
+using topology::DomainId;
+
+/// A machine that reports here, or should.
+struct Member {
+  const std::string* host = nullptr;
+  const topology::Place* place = nullptr;
+  Instant heard{};
+};
+
+class Watch {
+ public:
+  /// Other domains: all judgements are void. Null: there are none.
+  void take(std::shared_ptr<const topology::Topology> t);
+  /// A new term: nobody is known.
+  void clear();
+
+  /// Judges by who was heard when; a machine is late when it was not heard for `late`. To be called often and
+  /// only while silence is the machines' own fault and not the listener's.
+  void look(Instant now, Micros late, const std::vector<Member>& members);
+  /// Machines that should get nothing new: of lost domains, and those not yet trusted of domains that came
+  /// back.
+  const std::set<std::string>& doubted() const { return doubted_; }
+  /// The machine's domain, or one that it is inside of, is lost.
+  bool lost(const topology::Place& place) const;
+
+ private:
+  struct State {
+    bool lost = false;
+    bool told = false;  ///< its loss is in the log
+    Instant since{};    ///< lost, or heard again
+    Instant seen{};     ///< when there last was a machine of it
+    std::uint32_t machines = 0;
+    int relapses = 0;
+  };
+  struct Tally {
+    std::uint32_t all = 0;
+    std::uint32_t late = 0;
+    Instant heard{};
+  };
+  void judge(Instant now, const std::vector<Tally>& tallies);
+  void tell(Instant now);
+  void doubt(Instant now, Micros late, const std::vector<Member>& members);
+  bool above_lost(DomainId id) const;
+
+  std::shared_ptr<const topology::Topology> topology_;
+  std::map<DomainId, State> states_;  ///< of those that are lost or were so of late
+  std::set<std::string> doubted_;
+};
+
+}  // namespace wrenusher::watch
