Lab: racks, layouts and lost domains; machines with a named device are kept

Ruled out: tags in machine names decided by the lab's cloud (patterns on names serve the same and are what operators write).

--- a/lab/models/checker.cpp
+++ b/lab/models/checker.cpp
@@ -1,5 +1,7 @@
 #include "wrenusher/lab/checker.hpp"
 
+#include <algorithm>
+
 namespace wrenusher::lab {
 
 void Checker::breaks(const std::string& rule, const std::string& note) {
@@ -54,7 +56,8 @@
   }
   if (!spec->second.allows(flavor, site, standby))
     breaks("wrong_place", unit_name(ref, task) + " on " + host);
-  places.push_back({host, site});
+  places.push_back({host, site, topology_ ? topology_->find(host, "", flavor, site) : topology::Place{}});
+  if (topology_) check_layout(spec->second, places.back());
   std::map<std::string, std::uint32_t> zones;
   double cores = 0;
   double cards = 0;
@@ -78,6 +81,59 @@
   }
 }
 
+/// What a layout insists on holds at every moment, old attempts included; a device serves one task at a time.
+void Checker::check_layout(const JobSpec& spec, const On& here) {
+  std::map<topology::DomainId, std::uint32_t> leaves;
+  std::map<topology::DomainId, std::uint32_t> spread;
+  std::set<topology::DomainId> together;
+  std::map<std::string, std::uint32_t> devices;
+  const auto level = [&](const auto& part) { return topology_->level(part.level); };
+  for (const auto& [unit, where] : on_) {
+    for (const On& o : where) {
+      const bool mine = unit.first == spec.ref;
+      if (o.host == here.host) {
+        for (const auto& [name, n] : specs_.at(unit.first).devices()) devices[name] += n;
+      }
+      if (!mine) continue;
+      ++leaves[o.place.leaf];
+      if (spec.layout && spec.layout->spread) ++spread[o.place.at(level(*spec.layout->spread))];
+      if (spec.layout && spec.layout->together) together.insert(o.place.at(level(*spec.layout->together)));
+    }
+  }
+  for (const auto& [id, n] : leaves) {
+    double& most = most_in_one_[spec.ref];
+    most = std::max(most, static_cast<double>(n) / spec.units);
+  }
+  if (!spec.layout) return;
+  if (const auto& s = spec.layout->spread; s && s->must) {
+    for (const auto& [id, n] : spread) {
+      if (n > s->limit(spec.units))
+        breaks("layout", spec.ref + " has " + std::to_string(n) + " tasks in " + topology_->path(id));
+    }
+  }
+  if (const auto& t = spec.layout->together; t && t->must && together.size() > 1)
+    breaks("layout", spec.ref + " is not together in one " + t->level);
+  for (const auto& [name, n] : spec.devices()) {
+    const auto there = here.place.devices.find(name);
+    if (there == here.place.devices.end() || devices[name] > there->second)
+      breaks("layout", spec.ref + " has no " + name + " on " + here.host);
+  }
+}
+
+double Checker::most_in_one(const std::string& ref) const {
+  const auto it = most_in_one_.find(ref);
+  return it == most_in_one_.end() ? 0 : it->second;
+}
+
+std::set<std::pair<std::string, std::uint32_t>> Checker::on_any(const std::set<std::string>& hosts) const {
+  std::set<std::pair<std::string, std::uint32_t>> out;
+  for (const auto& [unit, where] : on_) {
+    if (std::any_of(where.begin(), where.end(), [&](const On& o) { return hosts.contains(o.host); }))
+      out.insert(unit);
+  }
+  return out;
+}
+
 void Checker::left(const std::string& ref, std::uint32_t task, const std::string& host) {
   std::erase_if(on_[{ref, task}], [&](const On& o) { return o.host == host; });
 }
--- a/lab/models/include/wrenusher/lab/checker.hpp
+++ b/lab/models/include/wrenusher/lab/checker.hpp
@@ -8,6 +8,7 @@
 
 #include "wrenusher/protocol/messages.hpp"
 #include "wrenusher/settings/settings.hpp"
+#include "wrenusher/topology/topology.hpp"
 
 namespace wrenusher::lab {
 
@@ -18,7 +19,8 @@
 
 class Checker {
  public:
-  explicit Checker(const Settings& settings) : settings_(settings) {}
+  explicit Checker(const Settings& settings, std::shared_ptr<const topology::Topology> topology = nullptr)
+      : settings_(settings), topology_(std::move(topology)) {}
 
   void submitted(const JobSpec& spec) { specs_.emplace(spec.ref, spec); }
   void answered_submit(Instant now, const std::string& ref, int status);
@@ -46,16 +48,24 @@
   const std::vector<std::string>& notes() const { return notes_; }
   std::size_t starts() const { return starts_; }
   bool accepted(const std::string& ref) const { return accepted_.contains(ref); }
+  /// The largest part of the job's tasks that was ever in one innermost domain; 0 before any start.
+  double most_in_one(const std::string& ref) const;
+  /// What is on any of these machines.
+  std::set<std::pair<std::string, std::uint32_t>> on_any(const std::set<std::string>& hosts) const;
 
  private:
   struct On {
     std::string host;
     std::string site;
+    topology::Place place;
   };
+  void check_layout(const JobSpec& spec, const On& here);
   void breaks(const std::string& rule, const std::string& note);
   void final_state(Instant now, const std::string& ref, const std::string& state);
 
   const Settings& settings_;
+  std::shared_ptr<const topology::Topology> topology_;
+  std::map<std::string, double> most_in_one_;
   std::map<std::string, JobSpec> specs_;
   std::set<std::string> accepted_;
   std::set<std::string> asked_;
--- a/lab/models/include/wrenusher/lab/machines.hpp
+++ b/lab/models/include/wrenusher/lab/machines.hpp
@@ -56,6 +56,7 @@
   std::vector<std::string> up(const std::string& zone = "") const;
   bool standby(const std::string& host) const;
   std::string zone_of(const std::string& host) const;
+  std::string flavor_of(const std::string& host) const;
 
   /// What became of work, in core seconds.
   struct Work {
--- a/lab/models/include/wrenusher/lab/site.hpp
+++ b/lab/models/include/wrenusher/lab/site.hpp
@@ -1,6 +1,7 @@
 #pragma once
 // A site: what machines there are to be had, whose jobs come, and which troubles. Read from a YAML file.
 
+#include <memory>
 #include <optional>
 #include <random>
 #include <string>
@@ -9,6 +10,7 @@
 #include "wrenusher/fields/fields.hpp"
 #include "wrenusher/protocol/messages.hpp"
 #include "wrenusher/settings/settings.hpp"
+#include "wrenusher/topology/topology.hpp"
 
 namespace wrenusher::lab {
 
@@ -52,6 +54,7 @@
   double due_times = 0;  ///< due after so many times the estimate and `due_plus`; 0: no deadline
   Micros due_plus{};
   double withdrawn = 0;  ///< share of jobs that their users cancel
+  std::optional<Layout> layout;
 };
 
 /// Something that goes wrong, once or again and again.
@@ -60,7 +63,7 @@
   Micros at{};
   Micros lasts{};
   Micros every{};    ///< 0: once
-  std::string whom;  ///< controller, zone or machine; empty: drawn
+  std::string whom;  ///< controller, zone, domain or machine; empty: drawn
   double share = 0;  ///< of the machines, where it strikes several
 };
 /// The troubles that a site may name, each with a line of help.
@@ -74,6 +77,8 @@
   std::vector<JobClass> classes;
   std::vector<TroubleSpec> troubles;
   Micros length = from_seconds(600);
+  std::string topology_text;  ///< as the controllers read it; empty: none
+  std::shared_ptr<const topology::Topology> topology;
 
   const MachineType* type(const std::string& flavor) const;
 };
--- a/lab/models/include/wrenusher/lab/wires.hpp
+++ b/lab/models/include/wrenusher/lab/wires.hpp
@@ -33,6 +33,8 @@
   void cut(const std::string& a, const std::string& b, Cut how);
   /// A zone with all that is and comes up in it, from everything outside.
   void cut_zone(const std::string& zone, Cut how);
+  /// Likewise all parties of which `inside` is true.
+  void cut_group(std::function<bool(const std::string&)> inside, Cut how);
   void heal();
   /// Tells the zone of a party; empty for what belongs to none.
   std::function<std::string(const std::string&)> zone_of;
@@ -40,8 +42,7 @@
 
  private:
   std::map<std::pair<std::string, std::string>, Cut> pairs_;
-  std::string zone_;
-  Cut zone_cut_ = Cut::none;
+  std::vector<std::pair<std::function<bool(const std::string&)>, Cut>> groups_;
 };
 
 /// A clock, chance, and messages between named parties.
--- a/lab/models/links.cpp
+++ b/lab/models/links.cpp
@@ -15,18 +15,22 @@
 }
 
 void Links::cut_zone(const std::string& zone, Cut how) {
-  zone_ = zone;
-  zone_cut_ = how;
+  cut_group([this, zone](const std::string& who) { return zone_of && zone_of(who) == zone; }, how);
+}
+
+void Links::cut_group(std::function<bool(const std::string&)> inside, Cut how) {
+  groups_.emplace_back(std::move(inside), how);
 }
 
 void Links::heal() {
   pairs_.clear();
-  zone_.clear();
-  zone_cut_ = Cut::none;
+  groups_.clear();
 }
 
 Cut Links::between(const std::string& a, const std::string& b) const {
-  if (!zone_.empty() && zone_of && (zone_of(a) == zone_) != (zone_of(b) == zone_)) return zone_cut_;
+  for (const auto& [inside, how] : groups_) {
+    if (inside(a) != inside(b)) return how;
+  }
   const auto it = pairs_.find(ordered(a, b));
   return it == pairs_.end() ? Cut::none : it->second;
 }
--- a/lab/models/machines.cpp
+++ b/lab/models/machines.cpp
@@ -232,6 +232,11 @@
   return it == machines_.end() ? "" : it->second->site;
 }
 
+std::string Machines::flavor_of(const std::string& host) const {
+  const auto it = machines_.find(host);
+  return it == machines_.end() ? "" : it->second->flavor;
+}
+
 // ---------------------------------------------------------------- time passes
 
 void Machines::step() {
--- a/lab/models/site.cpp
+++ b/lab/models/site.cpp
@@ -63,6 +63,35 @@
   return t;
 }
 
+Layout read_layout(Node n) {
+  Layout l;
+  if (n.has("spread")) {
+    Node s = n["spread"];
+    Layout::Spread out;
+    out.level = s["level"].text();
+    if (s.has("most")) out.most = static_cast<std::uint32_t>(s["most"].whole(1, kMaxUnits));
+    if (s.has("share")) out.share = s["share"].number(0.001, 1);
+    if ((out.most > 0) == (out.share > 0)) s.fail("needs either 'most' or 'share'");
+    if (s.has("must")) out.must = s["must"].boolean();
+    s.no_more();
+    l.spread = out;
+  }
+  if (n.has("together")) {
+    Node t = n["together"];
+    Layout::Together out;
+    out.level = t["level"].text();
+    if (t.has("must")) out.must = t["must"].boolean();
+    t.no_more();
+    l.together = out;
+  }
+  if (n.has("devices")) {
+    for (const auto& [name, count] : n["devices"].entries())
+      l.devices[name] = static_cast<std::uint32_t>(count.whole(1, 1000));
+  }
+  n.no_more();
+  return l;
+}
+
 JobClass read_class(const std::string& name, Node n, const Settings& s) {
   JobClass c;
   c.name = name;
@@ -96,6 +125,7 @@
     due.no_more();
   }
   if (n.has("withdrawn")) c.withdrawn = n["withdrawn"].number(0, 1);
+  if (n.has("layout")) c.layout = read_layout(n["layout"]);
   n.no_more();
   return c;
 }
@@ -168,6 +198,8 @@
       {"state_slow", "answers of the state service take 300 ms longer for `lasts`"},
       {"cloud_outage", "the cloud answers 503 for `lasts`"},
       {"zone_cut", "a zone is cut off for `lasts`"},
+      {"domain_cut", "a domain of the topology (whom) is cut off for `lasts`"},
+      {"domain_dies", "all machines of a domain of the topology (whom) stop with all that is on them"},
       {"machine_dies", "a `share` of the machines (0: one) stop with all that is on them"},
       {"machine_hangs", "a `share` of the machines (0: one) hang for `lasts`"},
       {"spot_wave", "a `share` of the spot machines are taken back, with `lasts` of notice"},
@@ -207,6 +239,10 @@
   if (top.has("troubles")) {
     for (const Node& n : top["troubles"].items()) site.troubles.push_back(read_trouble(n));
   }
+  if (top.has("topology")) {
+    site.topology_text = top["topology"].text();
+    site.topology = topology::Topology::parse(site.topology_text, file + " (topology)");
+  }
   top.no_more();
   return site;
 }
--- a/lab/models/users.cpp
+++ b/lab/models/users.cpp
@@ -196,6 +196,7 @@
   s.standby = c.standby;
   s.same_place = c.same_place;
   s.scatter = c.scatter;
+  s.layout = c.layout;
   s.snapshot_every = c.snapshot_every;
   s.snapshot = c.snapshot;
   if (c.shape != Shape::daemon) {
--- a/lab/sim/day.cpp
+++ b/lab/sim/day.cpp
@@ -49,8 +49,11 @@
   double in_time = 0;
   double in_half_more = 0;
   double tasks = 0;
-  Times waits;     ///< of each task, from the submission to its first start
-  Times finishes;  ///< of each job, until its user was told
+  Times waits;        ///< of each task, from the submission to its first start
+  Times finishes;     ///< of each job, until its user was told
+  double spread = 0;  ///< sum over its jobs of the largest part that was in one innermost domain
+  double spread_jobs = 0;
+  Times replaced;  ///< of each task that was in a domain when that was lost, until it started again
 };
 
 /// All jobs of the day are drawn before it begins, from the seed alone: two days of one seed have the same
@@ -78,10 +81,18 @@
   }
 }
 
-void troubles(World& w, const Site& site) {
+using Lost = std::map<std::pair<std::string, std::uint32_t>, Instant>;
+
+void troubles(World& w, const Site& site, Lost& lost) {
   for (const TroubleSpec& t : site.troubles) {
     for (Micros at = t.at; at < site.length; at += t.every) {
-      w.at(at, [&w, &t] { w.strike(t); });
+      w.at(at, [&w, &t, &lost] {
+        if (t.what.starts_with("domain_")) {
+          const auto hosts = w.hosts_in(t.whom);
+          for (const auto& unit : w.checker.on_any({hosts.begin(), hosts.end()})) lost.emplace(unit, w.now());
+        }
+        w.strike(t);
+      });
       if (t.every.count() == 0) break;
     }
   }
@@ -94,13 +105,18 @@
   std::map<std::string, ClassTally> classes;
   for (const JobClass& c : site.classes) classes[c.name];
   std::set<std::pair<std::string, std::uint32_t>> started;
+  Lost lost;
   w.machines().on_start = [&](const std::string& ref, std::uint32_t task) {
+    if (const auto l = lost.find({ref, task}); l != lost.end()) {
+      classes[w.machines().job(ref)->spec.queue].replaced.add(w.now() - l->second);
+      lost.erase(l);
+    }
     const auto job = w.users().jobs().find(ref);
     if (job == w.users().jobs().end() || !started.insert({ref, task}).second) return;
     classes[w.machines().job(ref)->spec.queue].waits.add(w.now() - job->second.submitted);
   };
   arrivals(w, site, seed);
-  troubles(w, site);
+  troubles(w, site, lost);
   w.run(site.length);
 
   DayResult out;
@@ -111,6 +127,10 @@
     ClassTally& c = classes[spec.queue];
     ++c.jobs;
     c.tasks += spec.units;
+    if (const double most = w.checker.most_in_one(ref); most > 0 && spec.units > 1) {
+      c.spread += most;
+      ++c.spread_jobs;
+    }
     const bool over = job.over != Instant{};
     if (job.refused != 0) {
       ++c.refused;
@@ -137,6 +157,11 @@
     f[name + ".wait_p95"] = c.waits.quantile(0.95);
     f[name + ".finish_p50"] = c.finishes.quantile(0.5);
     f[name + ".finish_p95"] = c.finishes.quantile(0.95);
+    if (site.topology && c.spread_jobs > 0) f[name + ".in_one_domain"] = c.spread / c.spread_jobs;
+    if (c.replaced.count() > 0) {
+      f[name + ".replaced_p50"] = c.replaced.quantile(0.5);
+      f[name + ".replaced_p95"] = c.replaced.quantile(0.95);
+    }
     if (c.with_due > 0) {
       f[name + ".in_time"] = c.in_time / c.with_due;
       f[name + ".in_half_more"] = c.in_half_more / c.with_due;
@@ -205,6 +230,13 @@
                   of("in_time", "%.3f").c_str(), of("in_half_more", "%.3f").c_str());
     out += line;
   }
+  for (const JobClass& c : site.classes) {
+    const auto of = [&](const char* what, const char* how) { return cell(days, c.name + "." + what, how); };
+    if (of("in_one_domain", "%.2f") == "-" && of("replaced_p50", "%.1f") == "-") continue;
+    out += c.name + ": most of a job in one domain " + of("in_one_domain", "%.2f") +
+           ", started again after a lost domain in " + of("replaced_p50", "%.1f") + " s (p95 " +
+           of("replaced_p95", "%.1f") + ")\n";
+  }
   const auto total = [&](const char* name, const char* how) { return cell(days, name, how); };
   out += "work done " + total("core_seconds_done", "%.0f") + " core s, done again " +
          total("core_seconds_lost", "%.0f") + "; money " + total("money", "%.2f") + "; machines rented " +
--- a/lab/sim/include/wrenusher/lab/world.hpp
+++ b/lab/sim/include/wrenusher/lab/world.hpp
@@ -99,6 +99,13 @@
   void die(const std::string& host) { machines_.die(host); }
   void hang(const std::string& host, Micros how_long) { machines_.hang(host, how_long); }
   void take(const std::string& host, Micros notice) { machines_.take(host, notice); }
+  /// A domain of the topology with all that is and comes up in it.
+  void cut_domain(const std::string& domain, Cut how);
+  void kill_domain(const std::string& domain);
+  /// Machines that are up in the domain.
+  std::vector<std::string> hosts_in(const std::string& domain) const;
+  /// What the controllers read as the operators' topology from now on.
+  void edit_topology(const std::string& text) { site_.topology_text = text; }
   std::vector<std::string> hosts(const std::string& zone = "") const { return machines_.up(zone); }
   void fails_everywhere(const std::string& ref) { machines_.mistaken(ref); }
   void fails_on(const std::string& host) { machines_.faulty(host); }
@@ -127,6 +134,7 @@
   class NodeRuntime;
   void start_node(int i);
   void watch();
+  bool in_domain(const std::string& host, const std::string& domain) const;
   int controller(const std::string& whom);
 
   SimWires wires_;
--- a/lab/sim/world.cpp
+++ b/lab/sim/world.cpp
@@ -103,8 +103,8 @@
   std::string name;
   NodeRuntime runtime;
   controller::Controller controller;
-  Node(SimWires& wires, const std::string& n, double drift, const Settings& s)
-      : name(n), runtime(wires, n, drift), controller(runtime, s) {}
+  Node(SimWires& wires, const std::string& n, double drift, const Settings& s, survey::Reader reader)
+      : name(n), runtime(wires, n, drift), controller(runtime, s, std::move(reader)) {}
 };
 
 Settings World::small_site() {
@@ -145,7 +145,7 @@
 
 World::World(std::uint64_t seed, Site site, int scale)
     : site_(std::move(site)),
-      checker(site_.settings),
+      checker(site_.settings, site_.topology),
       wires_(seed),
       state_(wires_,
              {site_.settings.state_rps, site_.settings.state_write_rps, site_.settings.value_kb,
@@ -193,7 +193,9 @@
       s.peers.push_back({name_of(k), s.zones[static_cast<std::size_t>(k) % s.zones.size()], peer_of(k)});
   }
   auto& node = nodes_[static_cast<std::size_t>(i)];
-  node = std::make_unique<Node>(wires_, name, 1.0 + uniform(0, 0.0005), s);
+  if (!site_.topology_text.empty()) s.tunables.topology = "topology.yaml";
+  node = std::make_unique<Node>(wires_, name, 1.0 + uniform(0, 0.0005), s,
+                                [this](const std::string&) { return std::optional(site_.topology_text); });
   Node* n = node.get();
   wires_.serve_at(client_of(i), name, [n](const std::string&, const Request& r, const Answer& a) {
     n->runtime.run([n, r, a] { n->controller.serve_client(r, a); });
@@ -216,6 +218,29 @@
   at(kWatch, [this] { watch(); });
 }
 
+bool World::in_domain(const std::string& host, const std::string& domain) const {
+  if (!site_.topology || !host.starts_with("m-")) return false;
+  const topology::Place place =
+      site_.topology->find(host, "", machines_.flavor_of(host), machines_.zone_of(host));
+  return std::any_of(place.by_level.begin(), place.by_level.end(), [&](topology::DomainId id) {
+    return id != topology::kNowhere && site_.topology->domain(id).name == domain;
+  });
+}
+
+std::vector<std::string> World::hosts_in(const std::string& domain) const {
+  std::vector<std::string> out = machines_.up();
+  std::erase_if(out, [&](const std::string& h) { return !in_domain(h, domain); });
+  return out;
+}
+
+void World::cut_domain(const std::string& domain, Cut how) {
+  wires_.links.cut_group([this, domain](const std::string& who) { return in_domain(who, domain); }, how);
+}
+
+void World::kill_domain(const std::string& domain) {
+  for (const std::string& h : hosts_in(domain)) die(h);
+}
+
 void World::tell(int controller, const Request& request, const Done& done) {
   wires_.send("user", client_of(controller), request, from_seconds(2), done);
 }
@@ -316,6 +341,11 @@
     cut_zone(t.whom.empty() ? zones[static_cast<std::size_t>(pick(static_cast<int>(zones.size())))] : t.whom,
              pick(2) == 0 ? Cut::hold : Cut::reset);
     ends([this] { heal(); });
+  } else if (t.what == "domain_cut") {
+    cut_domain(t.whom, pick(2) == 0 ? Cut::hold : Cut::reset);
+    ends([this] { heal(); });
+  } else if (t.what == "domain_dies") {
+    kill_domain(t.whom);
   } else if (t.what == "machine_dies") {
     for (const std::string& h : t.whom.empty() ? some(hosts()) : std::vector<std::string>{t.whom}) die(h);
   } else if (t.what == "machine_hangs") {
--- a/src/mail/include/wrenusher/mail/mail.hpp
+++ b/src/mail/include/wrenusher/mail/mail.hpp
@@ -164,9 +164,10 @@
     bool usable = false;
     std::uint32_t claims = 0;
     // As cores, see planner::in_cores.
-    Amount booked = 0;   ///< of its claims
-    Amount running = 0;  ///< of those that run
-    Amount lasting = 0;  ///< of those that do not end
+    Amount booked = 0;     ///< of its claims
+    Amount running = 0;    ///< of those that run
+    Amount lasting = 0;    ///< of those that do not end
+    bool carries = false;  ///< a named device: no rented machine would bring another
   };
   std::vector<Demand> demands;  ///< in the order of service
   std::vector<HostLoad> hosts;
--- a/src/provisioner/include/wrenusher/provisioner/provisioner.hpp
+++ b/src/provisioner/include/wrenusher/provisioner/provisioner.hpp
@@ -45,6 +45,7 @@
     bool returning = false;
     bool draining = false;  ///< gets no new tasks and goes back once the last has ended
     bool running = false;   ///< listed as running
+    bool carries = false;   ///< a named device: stays though it idles
     Amount booked = 0;
     Amount working = 0;
     Amount lasting = 0;
--- a/src/provisioner/provisioner.cpp
+++ b/src/provisioner/provisioner.cpp
@@ -378,6 +378,7 @@
     m.booked = h.booked;
     m.working = h.running;
     m.lasting = h.lasting;
+    m.carries = h.carries;
     if (m.draining && h.claims == 0) give_back(h.host, "it is idle");
   }
   see_zones(*w);
@@ -442,7 +443,8 @@
     if (m.returning) continue;
     if (!m.up) {
       if (now > m.expected) give_back(host, "it does not come up");
-    } else if (!m.draining && now - m.rented > kLeastPaid && now - m.idle_since > idle_return(m)) {
+    } else if (!m.draining && !m.carries && now - m.rented > kLeastPaid &&
+               now - m.idle_since > idle_return(m)) {
       // First the ledger puts nothing on it any more; it goes back when the ledger shows it empty.
       m.draining = true;
       condemned(HostCondemned{host, "idle"});
--- a/src/rounds/rounds.cpp
+++ b/src/rounds/rounds.cpp
@@ -571,6 +571,7 @@
   w->hosts.reserve(machines_.all().size());
   for (const auto& [name, m] : machines_.all()) {
     Workload::HostLoad load{name, m.flavor, m.site, m.standby, m.usable(), m.use.claims, 0, 0, 0};
+    load.carries = !m.place.devices.empty();
     if (const Flavor* f = machines_.flavor(m)) {
       load.booked = planner::in_cores(m.use.booked, *f);
       load.running = planner::in_cores(m.use.running, *f);
