--- a/src/topology/include/wrenusher/topology/topology.hpp
+++ b/src/topology/include/wrenusher/topology/topology.hpp
@@ -48,7 +48,8 @@
 
   bool matches(const std::string& host_name, std::uint32_t ip, const std::string& type,
                const std::string& zone) const;
-  /// Some machine could match both.
+  /// Some machine could match both, and neither goes before the other: a pattern with an address does before
+  /// one without.
   bool meets(const Pattern& o) const;
   /// How many machines can match; nothing where that is not bounded.
   std::optional<std::uint64_t> most() const;
--- a/src/topology/topology.cpp
+++ b/src/topology/topology.cpp
@@ -122,6 +122,8 @@
 }
 
 bool Pattern::meets(const Pattern& o) const {
+  // An address goes before a name, so that of the two one is always right.
+  if (addr.has_value() != o.addr.has_value()) return false;
   if (addr && o.addr && (addr->second < o.addr->first || o.addr->second < addr->first)) return false;
   if (!flavor.empty() && !o.flavor.empty() && flavor != o.flavor) return false;
   if (!site.empty() && !o.site.empty() && site != o.site) return false;
@@ -320,7 +322,9 @@
   }
   for (const auto& [name, where] : devices_) {
     for (const Device& d : where) {
-      if (d.on.matches(host, ip, flavor, site)) out.devices[name] = d.count;
+      if (!d.on.matches(host, ip, flavor, site)) continue;
+      out.devices[name] = d.count;
+      if (d.on.addr) break;
     }
   }
   return out;
--- a/tests/formats_test.cpp
+++ b/tests/formats_test.cpp
@@ -282,3 +282,35 @@
   EXPECT_EQ(log::fill("after {second} s", fmt::make_format_args(fmt::arg("seconds", seconds))),
             "after {second} s");
 }
+
+TEST(Formats, ALayoutIsReadBackAndAMisspeltOneIsNoLayout) {
+  JobSpec s = a_spec();
+  const std::size_t before = encode(write_spec(s)).size();
+  s.layout =
+      Layout{Layout::Spread{"rack", 0, 0.25, false}, Layout::Together{"switch", true}, {{"signer", 2}}};
+  EXPECT_EQ(read_spec(write_spec(s)), s);
+  s.layout->spread->most = 3;
+  s.layout->spread->share = 0;
+  EXPECT_EQ(read_spec(write_spec(s)), s);
+  EXPECT_EQ(s.layout->spread->limit(40), 3U);
+  EXPECT_EQ((Layout::Spread{"rack", 0, 0.1, true}.limit(41)), 5U);  // rounded up
+  EXPECT_EQ((Layout::Spread{"rack", 0, 0.1, true}.limit(3)), 1U);
+  s.layout.reset();
+  EXPECT_EQ(encode(write_spec(s)).size(), before);
+  const auto fault = [&](const Value& layout) {
+    Value::Map m = *write_spec(s).map();
+    m.emplace_back("layout", layout);
+    Fault f;
+    EXPECT_FALSE(read_spec(m, &f));
+    return f.field;
+  };
+  EXPECT_EQ(fault("rack"), "layout");
+  EXPECT_EQ(fault(Value::Map{{"spred", 1}}), "layout");
+  EXPECT_EQ(fault(Value::Map{{"spread", Value::Map{{"level", "rack"}}}}), "layout.spread");
+  EXPECT_EQ(fault(Value::Map{{"spread", Value::Map{{"level", "rack"}, {"most", 2}, {"share", 0.5}}}}),
+            "layout.spread");
+  EXPECT_EQ(fault(Value::Map{{"spread", Value::Map{{"level", "rack"}, {"most", 2}, {"must", "no"}}}}),
+            "layout.spread");
+  EXPECT_EQ(fault(Value::Map{{"together", Value::Map{{"must", true}}}}), "layout.together");
+  EXPECT_EQ(fault(Value::Map{{"devices", Value::Map{{"signer", 0}}}}), "layout.devices");
+}
--- a/tests/world_test.cpp
+++ b/tests/world_test.cpp
@@ -6,6 +6,8 @@
 #include <gtest/gtest.h>
 #include <spdlog/spdlog.h>
 
+#include "wrenusher/lab/day.hpp"
+
 using namespace wrenusher::lab;
 using namespace wrenusher::protocol;
 
@@ -561,3 +563,170 @@
   spdlog::set_level(level != nullptr ? spdlog::level::from_str(level) : spdlog::level::off);
   return RUN_ALL_TESTS();
 }
+
+namespace {
+
+/// 24 machines in six racks behind three switches, by the last digits of their names, and work of every kind
+/// of layout.
+Site racks_site() {
+  std::string yaml = R"(name: racks
+length: 3m
+zones: [a, b]
+teams: {red: {cores: 96, cores_max: 320}, blue: {}}
+types:
+  small: {cores: 16, memory_gb: 64, cache_gb: 30, pull_gb_per_s: 1, price: 1, spot_price: 0.3, boot: 6s,
+          spot_per_zone: 8, ordinary_per_zone: 24}
+machines: 24
+limits: {report: 1s, lease: 10s, gang_wait: 20s, gang_peer: 3s, cancel: 30s, state_rps: 300, state_write_rps: 60,
+         value_kb: 16, txn_ops: 16, cloud_rps: 8, list_lag: 4s, max_sockets: 600}
+classes:
+  billing: {team: red, shape: array, urgency: high, per_minute: 2, at_start: 2, tasks: 16, run: 15s, cores: 4,
+            memory_gb: 4, image_gb: 1, layout: {spread: {level: rack, share: 0.2}}}
+  signing: {team: blue, shape: service, urgency: prod, at_start: 3, tasks: 3, cores: 4, memory_gb: 4, image_gb: 1,
+            layout: {spread: {level: rack, most: 1}}}
+  talk: {team: red, shape: gang, urgency: normal, at_start: 1, per_minute: 1, tasks: 4, run: 15s, cores: 8,
+         memory_gb: 8, image_gb: 1, layout: {together: {level: switch}, spread: {level: rack, most: 2}}}
+  seals: {team: blue, shape: array, urgency: normal, per_minute: 3, tasks: 2, run: 5s, cores: 1, memory_gb: 1,
+          image_gb: 1, layout: {devices: {signer: 1}}}
+  builds: {team: blue, shape: array, urgency: normal, per_minute: 6, tasks: 8, run: 12s, cores: 4, memory_gb: 4,
+           image_gb: 1, images: 3}
+topology: |
+  version: 1
+  levels: [switch, rack]
+  domains:
+)";
+  for (int s = 0; s < 3; ++s) yaml += "    sw" + std::to_string(s) + ": {level: switch}\n";
+  for (int r = 0; r < 6; ++r) {
+    yaml +=
+        "    rack" + std::to_string(r) + ": {level: rack, in: sw" + std::to_string(r / 2) + ", machines: [";
+    for (int n = r; n < 100; n += 6) {
+      yaml +=
+          std::string(n == r ? "" : ", ") + "{host: \"m-*" + (n < 10 ? "0" : "") + std::to_string(n) + "\"}";
+      if (n < 10) yaml += ", {host: m-" + std::to_string(n) + "}";
+    }
+    yaml += "]}\n";
+  }
+  // m-10 and the like would match "m-*10" too: names of two digits are told by the same pattern.
+  yaml += "  devices: {signer: [{host: m-7, count: 1}, {host: m-14, count: 1}]}\n";
+  return parse_site(yaml, "racks");
+}
+
+}  // namespace
+
+TEST(Layouts, HoldWhateverFailsWithARackOrASwitch) {
+  const Site site = racks_site();
+  struct Day {
+    const char* name;
+    std::vector<TroubleSpec> troubles;
+  };
+  const auto at = [](const char* what, double s, double lasts, const char* whom, double share = 0) {
+    return TroubleSpec{what, from_seconds(s), from_seconds(lasts), {}, whom, share};
+  };
+  const std::vector<Day> days = {
+      {"rack", {at("domain_dies", 60, 0, "rack2")}},
+      {"switch cut", {at("domain_cut", 60, 30, "sw1")}},
+      {"switch in a cut zone", {at("zone_cut", 55, 40, "a"), at("domain_dies", 65, 0, "sw0")}},
+      {"flapping rack", {at("domain_cut", 50, 10, "rack4"), at("domain_cut", 75, 10, "rack4")}},
+      {"switch and takeover", {at("domain_dies", 60, 0, "sw2"), at("controller_crash", 61, 4, "leader")}},
+      {"switch in an outage", {at("state_outage", 55, 20, ""), at("domain_cut", 60, 30, "sw1")}},
+      {"switch with half on notice", {at("spot_wave", 55, 30, "", 0.5), at("domain_dies", 60, 0, "sw0")}},
+      {"both signers", {at("machine_dies", 60, 0, "m-7"), at("machine_dies", 80, 0, "m-14")}},
+  };
+  std::uint64_t seed = 900;
+  for (const Day& day : days) {
+    Site s = site;
+    s.troubles = day.troubles;
+    const DayResult r = play_day(s, ++seed);
+    std::string broken;
+    for (const std::string& b : r.broken) broken += b + "\n";
+    EXPECT_TRUE(r.broken.empty()) << day.name << ": " << broken;
+    EXPECT_GT(r.figures.at("billing.done"), 1) << day.name;
+    // A fifth of 16 tasks, rounded up.
+    EXPECT_LE(r.figures.at("billing.in_one_domain"), 0.26) << day.name;
+  }
+}
+
+TEST(Layouts, TheCheckerSeesOneThatIsBroken) {
+  const Site site = racks_site();
+  Checker c(site.settings, site.topology);
+  JobSpec spec = World::job(1, 4, 1, 10);
+  spec.layout = Layout{Layout::Spread{"rack", 1, 0, true}, {}, {}};
+  c.submitted(spec);
+  c.started({}, spec.ref, 0, "m-1", "small", "a", false);
+  EXPECT_TRUE(c.broken().empty());
+  c.started({}, spec.ref, 1, "m-7", "small", "a", false);  // the same rack, by sixes
+  EXPECT_EQ(c.broken(), std::set<std::string>{"layout"});
+  Checker together(site.settings, site.topology);
+  spec.layout = Layout{{}, Layout::Together{"switch", true}, {}};
+  together.submitted(spec);
+  together.started({}, spec.ref, 0, "m-1", "small", "a", false);
+  together.started({}, spec.ref, 1, "m-2", "small", "a", false);
+  EXPECT_EQ(together.broken(), std::set<std::string>{"layout"});
+  Checker devices(site.settings, site.topology);
+  spec.layout = Layout{{}, {}, {{"signer", 1}}};
+  devices.submitted(spec);
+  devices.started({}, spec.ref, 0, "m-7", "small", "a", false);
+  EXPECT_TRUE(devices.broken().empty());
+  devices.started({}, spec.ref, 1, "m-7", "small", "a", false);
+  EXPECT_EQ(devices.broken(), std::set<std::string>{"layout"});
+}
+
+TEST(Layouts, TheTopologyInForceIsOneForAllAndOutlivesItsLeader) {
+  const Site site = racks_site();
+  World w(42, site);
+  w.run(from_seconds(15));
+  const auto submit = [&](int controller, int number, const char* level) {
+    JobSpec s = World::job(number, 2, 1, 5);
+    s.layout = Layout{Layout::Spread{level, 1, 0, true}, {}, {}};
+    const auto r = w.ask(controller, {"POST", "/submissions", encode(write_spec(s))});
+    return r ? r->status : 0;
+  };
+  // Every node judges by it.
+  for (int c = 0; c < 3; ++c) {
+    EXPECT_EQ(submit(c, 10 + c, "row"), 422);
+    EXPECT_EQ(submit(c, 20 + c, "rack"), 201);
+  }
+  // A newer one is taken while they run.
+  std::string newer = site.topology_text;
+  newer.replace(newer.find("version: 1"), 10, "version: 2");
+  newer.replace(newer.find("levels: [switch, rack]"), 22, "levels: [switch, rack, row]");
+  w.edit_topology(newer);
+  w.run(from_seconds(8));
+  for (int c = 0; c < 3; ++c) EXPECT_EQ(submit(c, 30 + c, "row"), 201) << "controller " << c;
+  const auto in_force = [&] {
+    const Entry* e = w.state().find("epoch");
+    const Value::List* l = e == nullptr ? nullptr : e->value["topology"].list();
+    return l == nullptr ? 0 : (*l)[0].count().value_or(0);
+  };
+  EXPECT_EQ(in_force(), 2U);
+  // Its successor leads under the same.
+  w.crash(w.leader(), from_seconds(20));
+  w.run(from_seconds(15));
+  EXPECT_GE(w.leader(), 0);
+  EXPECT_EQ(in_force(), 2U);
+  w.run(from_seconds(30));
+  expect_kept(w);
+}
+
+TEST(Layouts, ANodeWithAnotherTopologyDoesNotLeadWhileOneThatHasItCan) {
+  const Site site = racks_site();
+  World w(43, site);
+  w.run(from_seconds(15));
+  const int first = w.leader();
+  ASSERT_GE(first, 0);
+  // The next to start reads an older file, and the leader goes: the third node leads.
+  std::string older = site.topology_text;
+  older.replace(older.find("rack0: "), 7, "rackX: ");
+  w.edit_topology(older);
+  const int odd = (first + 1) % 3;
+  w.crash(odd, from_seconds(1));
+  w.run(from_seconds(5));
+  w.crash(first, from_seconds(40));
+  w.run(from_seconds(20));
+  EXPECT_EQ(w.leader(), (first + 2) % 3);
+  // Where no other can, it leads all the same.
+  w.crash((first + 2) % 3, from_seconds(60));
+  w.run(from_seconds(15));
+  EXPECT_EQ(w.leader(), odd);
+  expect_kept(w);
+}
