--- a/lab/live/live_lab.cpp
+++ b/lab/live/live_lab.cpp
@@ -79,7 +79,7 @@
     : rt_(rt),
       options_(std::move(options)),
       folder_(options_.data),
-      checker_(options_.site.settings),
+      checker_(options_.site.settings, options_.site.topology),
       wires_(rt, options_.port + kMachines),
       state_(wires_,
              {options_.site.settings.state_rps, options_.site.settings.state_write_rps,
@@ -250,7 +250,17 @@
   std::string program = options_.wrenusher;
   std::string flag = "--config";
   std::string file = config;
-  char* args[] = {self.data(), as_child.data(), program.data(), flag.data(), file.data(), nullptr};
+  std::vector<char*> args{self.data(), as_child.data(), program.data(), flag.data(), file.data()};
+  // Operators' files, which may be changed while the lab runs.
+  std::string tunables_flag = "--tunables";
+  std::string tunables = folder_.path() + "/tunables.yaml";
+  if (!options_.site.topology_text.empty()) {
+    const std::string topology = folder_.path() + "/topology.yaml";
+    if (!fields::read_file(topology)) std::ofstream(topology) << options_.site.topology_text;
+    std::ofstream(tunables) << "topology: topology.yaml\n";
+    args.insert(args.end(), {tunables_flag.data(), tunables.data()});
+  }
+  args.push_back(nullptr);
   uv_stdio_container_t stdio[3] = {};
   stdio[0].flags = UV_IGNORE;
   stdio[1].flags = UV_INHERIT_FD;
@@ -258,7 +268,7 @@
   stdio[2] = stdio[1];
   uv_process_options_t how{};
   how.file = self.c_str();
-  how.args = args;
+  how.args = args.data();
   how.stdio = stdio;
   how.stdio_count = 3;
   how.exit_cb = [](uv_process_t* p, std::int64_t, int) {
--- a/src/planner/board.cpp
+++ b/src/planner/board.cpp
@@ -212,6 +212,8 @@
   host.type = type_of(*host.h.flavor);
   types_[host.type].cores += host.cores;
   file_room(slot, host.h.free.room);
+  host.places.reserve(host.leaving.size());
+  if (host.h.images != nullptr) host.images.reserve(host.h.images->size() + host.h.pulls.size());
   for (const Leaving& l : host.leaving) {
     std::uint32_t id = static_cast<std::uint32_t>(places_.size());
     if (!free_places_.empty()) {
--- a/src/rounds/rounds.cpp
+++ b/src/rounds/rounds.cpp
@@ -185,7 +185,9 @@
 /// estimated is believed to go on for a while.
 std::vector<planner::Leaving> Rounds::leaving(const Machine& m) const {
   std::vector<planner::Leaving> out;
-  for (const auto& [id, job] : book_.on(m)) {
+  const book::Tenants& there = book_.on(m);
+  out.reserve(there.size());
+  for (const auto& [id, job] : there) {
     const JobSpec& spec = job->spec();
     const Claim& c = job->claims.at(id.second);
     if (spec.shape == Shape::daemon || c.phase == Phase::loaded) continue;
