A node with another topology defers for 6 s at most; heartbeats name the edition of the record

Cause: "does not lead while one that has it can" asked only whether that one lives. Beside one that has it and hears no workers nobody led but for moments; and followers took the leader's edition for the one in force.

Change: deferring ends after 6 s, a leader with another edition cedes once in 5 minutes at most, TopologyInForce carries the record's edition. Another topology now voids the planner's board by the machines' generation instead of a comparison of addresses.

Ruled out: asking whether the other hears workers (a healthy follower hears none: the lead was not given back).

--- a/src/machines/include/wrenusher/machines/machines.hpp
+++ b/src/machines/include/wrenusher/machines/machines.hpp
@@ -99,7 +99,8 @@
   std::vector<Machine*> take_touched();
   /// Slots of machines that are gone.
   std::vector<std::uint32_t> take_freed() { return std::exchange(freed_, {}); }
-  /// Rises when all that the planner knows of machines is void: a new term, other types.
+  /// Rises when all that the planner knows of machines is void: a new term, other types,
+  /// another topology.
   std::uint64_t generation() const { return generation_; }
   /// Those with a fetch under way.
   const std::set<Machine*>& pulling() const { return pulling_; }
--- a/src/machines/machines.cpp
+++ b/src/machines/machines.cpp
@@ -58,7 +58,10 @@
 }
 
 void Machines::take_topology(std::shared_ptr<const topology::Topology> t) {
+  if (topology_ == t) return;
   topology_ = std::move(t);
+  // Where every job's tasks are reads otherwise from now on.
+  ++generation_;
   for (auto& [name, m] : machines_) {
     m.place =
         topology_ && !m.site.empty() ? topology_->find(m.name, m.addr, m.flavor, m.site) : topology::Place{};
--- a/src/mail/include/wrenusher/mail/mail.hpp
+++ b/src/mail/include/wrenusher/mail/mail.hpp
@@ -71,7 +71,7 @@
 /// the one in force.
 struct TopologyInForce {
   std::shared_ptr<const topology::Topology> topology;  ///< null: none
-  topology::Edition edition;                           ///< of it
+  topology::Edition edition;                           ///< the one in force, which a leader may lack
   bool agreed = true;  ///< false: another one is in force elsewhere, and nothing may be judged by this one
 };
 
--- a/src/membership/include/wrenusher/membership/leadership.hpp
+++ b/src/membership/include/wrenusher/membership/leadership.hpp
@@ -52,7 +52,9 @@
   void prove(Instant sent);
   bool fresh(const PeerState& p) const;
   topology::Edition mine() const;
+  /// A peer heard of late has read this edition and reaches the state service.
   bool peer_has(const topology::Edition& e) const;
+  void defer(std::uint64_t tenancy);
   void note_force(const topology::Edition& e);
   void tell_force();
   void complain();
@@ -68,6 +70,8 @@
   std::uint64_t term_stamp_ = 0;                        ///< of the `leader` record, while leading
   std::uint64_t epoch_stamp_ = 0;                       ///< of the record that names it, while leading
   std::pair<topology::Edition, topology::Edition> complained_;
+  Instant deferring_since_{};  ///< to a peer that has the topology in force; nobody has led since
+  Instant ceded_{};            ///< when the lead was last given to such a peer
   bool adopting_ = false;
   Instant next_adopt_{};
   bool leading_ = false;
--- a/src/membership/leadership.cpp
+++ b/src/membership/leadership.cpp
@@ -17,8 +17,12 @@
 constexpr Micros kMargin = millis(150);
 /// Pause after giving the lead away because no worker was heard.
 constexpr Micros kAbstain = from_seconds(8);
-/// Pause of a node with another topology than the one in force, for one that has it.
+/// Pause of a node with another topology than the one in force, for one that has it; and how long it defers
+/// to one that does not come to lead after all.
 constexpr Micros kDefer = from_seconds(2);
+constexpr Micros kDeferMost = from_seconds(6);  // less than that one abstains, if it gave the lead away
+/// The lead is given to one that has it no more often than this: it may not be able to keep it.
+constexpr Micros kCedeEvery = from_seconds(300);
 constexpr Micros kAdoptEvery = from_seconds(1);
 
 }  // namespace
@@ -45,6 +49,7 @@
 }
 
 void Leadership::note_epoch(std::uint64_t epoch, const std::string& leader) {
+  if (!leader.empty()) deferring_since_ = {};
   if (leading_ || epoch < epoch_ || (epoch == epoch_ && leader == leader_)) return;
   epoch_ = epoch;
   leader_ = leader;
@@ -76,7 +81,7 @@
 
 void Leadership::tell_force() {
   // Whoever leads judges by what it has.
-  force(TopologyInForce{topology_, mine(), leading_ || mine() == force_});
+  force(TopologyInForce{topology_, force_, leading_ || mine() == force_});
 }
 
 /// Says that this node has another topology than the one in force, once for each two.
@@ -172,7 +177,9 @@
     if (mine() != force_ && now >= next_adopt_) adopt();
     if (now > certain_until_ && peer_with_store) {
       stand_down("a peer has the state service and this node has not", Micros{0});
-    } else if (mine().version <= force_.version && mine() != force_ && peer_has(force_)) {
+    } else if (mine().version <= force_.version && mine() != force_ && peer_has(force_) &&
+               (ceded_ == Instant{} || now - ceded_ > kCedeEvery)) {
+      ceded_ = now;
       store_.drop(tenancy_);
       stand_down("a peer has the topology in force and this node has not", kAbstain);
     } else if (deaf_ && !settings_.peers.empty() &&
@@ -230,10 +237,11 @@
           r.rows.empty() ? topology::Edition{} : read_edition(r.rows[0].value["topology"]);
       note_force(in_force);
       if (mine() != in_force && peer_has(in_force)) {
-        complain();
-        abandon(tenancy);
-        next_look_ = rt_.now() + kDefer;
-        return;
+        if (deferring_since_ == Instant{}) deferring_since_ = rt_.now();
+        if (rt_.now() - deferring_since_ < kDeferMost) {
+          defer(tenancy);
+          return;
+        }
       }
       if (mine().version > in_force.version) in_force = mine();
       Value::Map record{{"epoch", next}};
@@ -254,6 +262,13 @@
   });
 }
 
+/// One that has the topology in force may lead; this node asks again if it does not.
+void Leadership::defer(std::uint64_t tenancy) {
+  complain();
+  abandon(tenancy);
+  next_look_ = rt_.now() + kDefer;
+}
+
 void Leadership::abandon(std::uint64_t tenancy) {
   // Also after an unknown outcome: should the write be applied late, the dropped hold takes it away again.
   store_.drop(tenancy);
@@ -272,6 +287,7 @@
   store_.leading(true);
   term_stamp_ = epoch_stamp_ = stamp;
   adopting_ = false;
+  deferring_since_ = {};
   tell_force();
   complain();
   changed(TermChanged{true, epoch_, stamp, leader_});
--- a/src/rounds/rounds.cpp
+++ b/src/rounds/rounds.cpp
@@ -82,10 +82,11 @@
                                                   : job->spec().ref < o.job->spec().ref;
 }
 
-/// A new term or other types void all that stands on the board; another topology, where jobs may go.
+/// A new term, other types or another topology void all that stands on the board.
 void Rounds::sync() {
   if (generation_ != machines_.generation()) {
     generation_ = machines_.generation();
+    topology_ = machines_.topology();
     board_.clear();
     tickets_.clear();
     by_age_.clear();
@@ -106,10 +107,6 @@
     }
     ++state_;
   }
-  if (topology_ != machines_.topology()) {
-    topology_ = machines_.topology();
-    ++state_;
-  }
 }
 
 /// Which jobs there are, and what their tasks are estimated to take.
@@ -387,7 +384,7 @@
 }
 
 std::string Rounds::disagreement() const {
-  if (generation_ != machines_.generation() || topology_ != machines_.topology()) return {};
+  if (generation_ != machines_.generation()) return {};
   for (const auto& [name, m] : machines_.all()) {
     const Flavor* f = machines_.flavor(m);
     if (m.touched) continue;
--- a/tests/world_test.cpp
+++ b/tests/world_test.cpp
@@ -721,9 +721,20 @@
   const int odd = (first + 1) % 3;
   w.crash(odd, from_seconds(1));
   w.run(from_seconds(5));
-  w.crash(first, from_seconds(40));
+  w.crash(first, from_seconds(3000));
   w.run(from_seconds(20));
   EXPECT_EQ(w.leader(), (first + 2) % 3);
+  // That one leads no more once it hears no workers, and the odd one does not defer to it for ever: this once
+  // left nobody to lead but for moments.
+  const std::string third = "c" + std::to_string((first + 2) % 3);
+  for (int i = 0; i < 60; ++i) {
+    for (const std::string& host : w.hosts()) w.cut(third, host, Cut::reset);
+    w.run(from_seconds(1));
+  }
+  EXPECT_EQ(w.leader(), odd);
+  w.heal();
+  w.run(from_seconds(320));
+  EXPECT_EQ(w.leader(), (first + 2) % 3);
   // Where no other can, it leads all the same.
   w.crash((first + 2) % 3, from_seconds(60));
   w.run(from_seconds(15));
