Board: one way to take a free place; an edition adopted with a new term is told as well

Change: `place_in`; `tell_adopted` at both places.

Ruled out: a table type of its own (its five users differ in what else they keep by place).

--- a/src/membership/leadership.cpp
+++ b/src/membership/leadership.cpp
@@ -25,6 +25,11 @@
 constexpr Micros kCedeEvery = from_seconds(300);
 constexpr Micros kAdoptEvery = from_seconds(1);
 
+void tell_adopted(const topology::Edition& e) {
+  log::info("topology_in_force", "topology {edition} is in force",
+            log::with("edition", topology::to_text(e)));
+}
+
 }  // namespace
 
 void write_edition(Value::Map& out, const char* field, const topology::Edition& e) {
@@ -107,8 +112,7 @@
                   if (!leading_ || epoch != epoch_) return;
                   if (c.result == Commit::Result::committed) {
                     epoch_stamp_ = c.revision;
-                    log::info("topology_in_force", "topology {edition} is in force",
-                              log::with("edition", topology::to_text(e)));
+                    tell_adopted(e);
                     note_force(e);
                   } else if (c.result == Commit::Result::conflict) {
                     // An earlier try was executed after all, or the term is over, which its hold will show.
@@ -255,6 +259,7 @@
                         return;
                       }
                       busy_ = false;
+                      if (in_force != force_) tell_adopted(in_force);
                       force_ = in_force;
                       win(tenancy, next, c.revision, sent);
                     });
--- a/src/planner/board.cpp
+++ b/src/planner/board.cpp
@@ -28,6 +28,18 @@
          (room & kWidthMask) >= (need & kWidthMask);
 }
 
+/// A place in the vector that is free, or a new one at its end.
+template <typename T>
+std::uint32_t place_in(std::vector<T>& all, std::vector<std::uint32_t>& free) {
+  if (free.empty()) {
+    all.emplace_back();
+    return static_cast<std::uint32_t>(all.size() - 1);
+  }
+  const std::uint32_t id = free.back();
+  free.pop_back();
+  return id;
+}
+
 std::vector<std::string> names_of(const std::map<std::string, std::uint32_t>& devices) {
   std::vector<std::string> out;
   for (const auto& [name, n] : devices) out.push_back(name);
@@ -60,13 +72,7 @@
 std::uint32_t Board::image_of(const std::string& bundle) {
   const auto it = image_ids_.find(bundle);
   if (it != image_ids_.end()) return it->second;
-  std::uint32_t id = static_cast<std::uint32_t>(images_.size());
-  if (!free_images_.empty()) {
-    id = free_images_.back();
-    free_images_.pop_back();
-  } else {
-    images_.emplace_back();
-  }
+  const std::uint32_t id = place_in(images_, free_images_);
   images_[id].bundle = bundle;
   image_ids_.emplace(bundle, id);
   return id;
@@ -90,13 +96,7 @@
     ++likes_[it->second].jobs;
     return it->second;
   }
-  std::uint32_t id = static_cast<std::uint32_t>(likes_.size());
-  if (!free_likes_.empty()) {
-    id = free_likes_.back();
-    free_likes_.pop_back();
-  } else {
-    likes_.emplace_back();
-  }
+  const std::uint32_t id = place_in(likes_, free_likes_);
   likes_[id].key = likes_ids_.emplace(key, id).first;
   likes_[id].jobs = 1;
   return id;
@@ -142,13 +142,8 @@
 // ---------------------------------------------------------------- machines
 
 Board::Slot Board::new_host() {
-  if (free_hosts_.empty()) {
-    hosts_.emplace_back();
-    mark_.push_back(0);
-    return static_cast<Slot>(hosts_.size() - 1);
-  }
-  const Slot slot = free_hosts_.back();
-  free_hosts_.pop_back();
+  const Slot slot = place_in(hosts_, free_hosts_);
+  mark_.resize(hosts_.size());
   return slot;
 }
 
@@ -215,13 +210,7 @@
   host.places.reserve(host.leaving.size());
   if (host.h.images != nullptr) host.images.reserve(host.h.images->size() + host.h.pulls.size());
   for (const Leaving& l : host.leaving) {
-    std::uint32_t id = static_cast<std::uint32_t>(places_.size());
-    if (!free_places_.empty()) {
-      id = free_places_.back();
-      free_places_.pop_back();
-    } else {
-      places_.emplace_back();
-    }
+    const std::uint32_t id = place_in(places_, free_places_);
     Needs room = host.h.free.room;
     room += l.needs;
     places_[id] = {room, slot, static_cast<std::uint32_t>(host.places.size()), host.kind, 0};
@@ -444,14 +433,9 @@
 // ---------------------------------------------------------------- jobs
 
 Board::Slot Board::new_job() {
-  if (free_jobs_.empty()) {
-    jobs_.emplace_back();
-    keys_.emplace_back();
-    standing_.emplace_back();
-    return static_cast<Slot>(jobs_.size() - 1);
-  }
-  const Slot slot = free_jobs_.back();
-  free_jobs_.pop_back();
+  const Slot slot = place_in(jobs_, free_jobs_);
+  keys_.resize(jobs_.size());
+  standing_.resize(jobs_.size());
   return slot;
 }
 
