--- a/apps/wrenusher/main.cpp
+++ b/apps/wrenusher/main.cpp
@@ -15,9 +15,7 @@
 
 /// For each line "host address type zone" which domain it belongs to, and what it carries.
 std::string match(const wrenusher::topology::Topology& t, const std::string& file) {
-  const auto text = wrenusher::fields::read_file(file);
-  if (!text) throw wrenusher::fields::FieldError(file + ": cannot be read");
-  std::istringstream in(*text);
+  std::istringstream in(wrenusher::fields::read_text(file));
   std::string line;
   std::string out;
   for (int n = 1; std::getline(in, line); ++n) {
@@ -65,11 +63,7 @@
     // Read whole before anything starts; later versions are taken or refused while it runs.
     const std::string& map = settings.tunables.topology;
     std::shared_ptr<const wrenusher::topology::Topology> topology;
-    if (!map.empty()) {
-      const auto text = wrenusher::fields::read_file(map);
-      if (!text) throw wrenusher::fields::FieldError(map + ": cannot be read");
-      topology = wrenusher::topology::Topology::parse(*text, map);
-    }
+    if (!map.empty()) topology = wrenusher::topology::Topology::parse(wrenusher::fields::read_text(map), map);
     if (!hosts.empty() && (!check || !topology))
       throw wrenusher::fields::FieldError("--hosts: needs --check and tunables that name a topology");
     if (check) {
--- a/lab/models/include/wrenusher/lab/site.hpp
+++ b/lab/models/include/wrenusher/lab/site.hpp
@@ -86,9 +86,8 @@
 /// A mistake in a site file; what() is one line: file, line, field, what is wrong.
 using SiteError = fields::FieldError;
 using fields::parse_duration;
+using fields::read_text;
 
-/// The whole file; throws SiteError where it cannot be read.
-std::string read_text(const std::string& path);
 Site parse_site(const std::string& yaml, const std::string& file);
 Site load_site(const std::string& path);
 /// What is used where no file is named: two types of machine, two zones, two teams, four classes of jobs.
--- a/lab/models/include/wrenusher/lab/state_service.hpp
+++ b/lab/models/include/wrenusher/lab/state_service.hpp
@@ -7,6 +7,7 @@
 #include "wrenusher/lab/keep.hpp"
 #include "wrenusher/lab/pace.hpp"
 #include "wrenusher/lab/wires.hpp"
+#include "wrenusher/settings/settings.hpp"
 
 namespace wrenusher::lab {
 
@@ -16,6 +17,8 @@
   double value_kb = 0;
   std::size_t txn_ops = 0;
 };
+/// What a cluster's settings say of its state service.
+StateLimits limits_of(const settings::Settings& s);
 
 class StateService {
  public:
--- a/lab/models/site.cpp
+++ b/lab/models/site.cpp
@@ -247,12 +247,6 @@
   return site;
 }
 
-std::string read_text(const std::string& path) {
-  auto text = fields::read_file(path);
-  if (!text) throw SiteError(path + ": cannot be read");
-  return *std::move(text);
-}
-
 Site load_site(const std::string& path) {
   return parse_site(read_text(path), path);
 }
--- a/lab/models/state_service.cpp
+++ b/lab/models/state_service.cpp
@@ -23,6 +23,10 @@
 
 }  // namespace
 
+StateLimits limits_of(const settings::Settings& s) {
+  return {s.state_rps, s.state_write_rps, s.value_kb, s.txn_ops};
+}
+
 StateService::StateService(Wires& wires, const StateLimits& limits, std::unique_ptr<Keep> keep)
     : wires_(wires),
       limits_(limits),
--- a/src/book/book.cpp
+++ b/src/book/book.cpp
@@ -175,8 +175,8 @@
 
 void Book::set_phase(const Job& job, Claim& c, Phase phase) {
   if (c.phase == phase) return;
-  if (c.phase == Phase::running) machines_.rests(*c.at, job.spec());
-  if (phase == Phase::running) machines_.runs(*c.at, job.spec());
+  if (c.phase == Phase::running) Machines::rests(*c.at, job.spec());
+  if (phase == Phase::running) Machines::runs(*c.at, job.spec());
   machines_.touch(*c.at);
   c.phase = phase;
 }
--- a/src/fields/fields.cpp
+++ b/src/fields/fields.cpp
@@ -1,6 +1,7 @@
 #include "wrenusher/fields/fields.hpp"
 
 #include <cmath>
+#include <cstdio>
 #include <cstdlib>
 #include <fstream>
 #include <sstream>
@@ -15,6 +16,21 @@
   return text.str();
 }
 
+std::string read_text(const std::string& path) {
+  auto text = read_file(path);
+  if (!text) throw FieldError(path + ": cannot be read");
+  return *std::move(text);
+}
+
+std::optional<std::uint32_t> parse_ipv4(const std::string& text) {
+  unsigned a = 0, b = 0, c = 0, d = 0;
+  char more = 0;
+  if (std::sscanf(text.c_str(), "%3u.%3u.%3u.%3u%c", &a, &b, &c, &d, &more) != 4 || a > 255 || b > 255 ||
+      c > 255 || d > 255)
+    return std::nullopt;
+  return (a << 24U) | (b << 16U) | (c << 8U) | d;
+}
+
 std::optional<Micros> parse_duration(const std::string& text) {
   char* end = nullptr;
   const double n = std::strtod(text.c_str(), &end);
--- a/src/fields/include/wrenusher/fields/fields.hpp
+++ b/src/fields/include/wrenusher/fields/fields.hpp
@@ -23,6 +23,10 @@
 
 /// The whole file; nothing where it cannot be read.
 std::optional<std::string> read_file(const std::string& path);
+/// Likewise; throws FieldError where it cannot be read.
+std::string read_text(const std::string& path);
+/// "10.1.0.7"; nothing when it is no IPv4 address.
+std::optional<std::uint32_t> parse_ipv4(const std::string& text);
 
 /// "1.5s", "200ms", "3m", "2h"; nothing when the unit is missing or wrong, or the number is.
 std::optional<Micros> parse_duration(const std::string& text);
--- a/src/machines/include/wrenusher/machines/machines.hpp
+++ b/src/machines/include/wrenusher/machines/machines.hpp
@@ -113,8 +113,8 @@
   void book(Machine& m, const JobSpec& spec);
   void unbook(Machine& m, const JobSpec& spec);
   /// A claimed task runs from now on, or no more.
-  void runs(Machine& m, const JobSpec& spec);
-  void rests(Machine& m, const JobSpec& spec);
+  static void runs(Machine& m, const JobSpec& spec) { m.use.running += spec.needs; }
+  static void rests(Machine& m, const JobSpec& spec) { m.use.running -= spec.needs; }
 
   /// A task waits for its image there; false when the image is there already.
   bool begin_pull(Machine& m, const JobSpec& spec);
--- a/src/machines/machines.cpp
+++ b/src/machines/machines.cpp
@@ -54,7 +54,6 @@
   if (catalog_ && catalog && *catalog == *catalog_) return;
   catalog_ = std::move(catalog);
   ++generation_;
-  for (auto& [name, m] : machines_) touch(m);
 }
 
 void Machines::take_topology(std::shared_ptr<const topology::Topology> t) {
@@ -65,7 +64,6 @@
   for (auto& [name, m] : machines_) {
     m.place =
         topology_ && !m.site.empty() ? topology_->find(m.name, m.addr, m.flavor, m.site) : topology::Place{};
-    touch(m);
   }
 }
 
@@ -115,16 +113,6 @@
   --m.use.services;
 }
 
-void Machines::runs(Machine& m, const JobSpec& spec) {
-  touch(m);
-  m.use.running += spec.needs;
-}
-
-void Machines::rests(Machine& m, const JobSpec& spec) {
-  touch(m);
-  m.use.running -= spec.needs;
-}
-
 void Machines::progress_pulls(Machine& m) {
   constexpr double kLeast = 0.05;
   const double seconds = to_seconds(rt_.now() - m.pulled_at);
--- a/src/planner/board.cpp
+++ b/src/planner/board.cpp
@@ -9,11 +9,6 @@
 
 namespace {
 
-/// A machine on which a task could start now, as it is compared.
-Micros run_time(const PlanHost& host, const PlanJob& job) {
-  return finish_time(host, job) - fetch_time(host, *job.spec);
-}
-
 std::uint32_t width(Amount a) {
   return static_cast<std::uint32_t>(std::bit_width(static_cast<std::uint64_t>(a)));
 }
@@ -123,14 +118,6 @@
   return l.admits[kind] != 0;
 }
 
-std::vector<std::uint32_t> Board::admitted(Slot job) {
-  std::vector<std::uint32_t> out;
-  for (std::uint32_t k = 0; k < kinds_.size(); ++k) {
-    if (admits(job, k)) out.push_back(k);
-  }
-  return out;
-}
-
 void Board::learn_types(Likes& l, const PlanJob& job) const {
   while (l.serves.size() < types_.size()) {
     const Flavor& f = *types_[l.serves.size()].flavor;
@@ -213,7 +200,7 @@
     const std::uint32_t id = place_in(places_, free_places_);
     Needs room = host.h.free.room;
     room += l.needs;
-    places_[id] = {room, slot, static_cast<std::uint32_t>(host.places.size()), host.kind, 0};
+    places_[id] = {room, static_cast<std::uint32_t>(host.places.size()), host.kind, 0};
     host.places.push_back(id);
   }
   if (host.h.images != nullptr) {
@@ -418,7 +405,7 @@
     ++looked_.places;
     const Later& p = places_[c->now.place];
     if (p.taken != plans_ && j.job.spec->needs.fits(p.room) && admits(slot, p.kind))
-      out.places.push_back({Micros{c->now.key}, c->now.place, c->now.host});
+      out.places.push_back({Micros{c->now.key}, c->now.place});
     if (c->next == c->end) {
       *c = cursors.back();
       cursors.pop_back();
@@ -435,7 +422,7 @@
 Board::Slot Board::new_job() {
   const Slot slot = place_in(jobs_, free_jobs_);
   keys_.resize(jobs_.size());
-  standing_.resize(jobs_.size());
+  slacks_.resize(jobs_.size());
   return slot;
 }
 
@@ -502,7 +489,7 @@
   for (const Slot slot : live_jobs_) {
     const Job& j = jobs_[slot];
     const JobSpec& spec = *j.job.spec;
-    const Slack sl = slack(j.aims, m.now);
+    const Slack& sl = slacks_[slot];
     if (sl.standing == Standing::late || sl.spare == Micros::max() || spec.shape != Shape::sweep) continue;
     const double seconds = j.job.waiting * to_seconds(j.job.estimate);
     items.push_back({spec.urgency, sl.spare, slot, seconds, seconds * from_amount(spec.needs.cores)});
@@ -563,14 +550,14 @@
 }
 
 void Board::rank_jobs(const Moment& m) {
+  for (const Slot slot : live_jobs_) slacks_[slot] = slack(jobs_[slot].aims, m.now);
   const std::vector<char> given_up = overload(m);
   for (const Slot slot : live_jobs_) {
     Job& j = jobs_[slot];
     const std::int64_t accepted = j.job.accepted.time_since_epoch().count();
     const std::int64_t due =
         j.job.spec->due ? accepted + j.job.spec->due->count() : std::numeric_limits<std::int64_t>::max();
-    Slack sl = slack(j.aims, m.now);
-    standing_[slot] = sl.standing;
+    Slack sl = slacks_[slot];
     if (sl.standing == Standing::late) sl.left = Micros::max();
     if (given_up[slot] != 0) sl = {Standing::late, sl.spare, sl.spare};
     keys_[slot] = {j.job.spec->urgency, !j.job.guaranteed, sl.standing, sl.left, -rank(j.job), due, accepted};
@@ -613,12 +600,12 @@
   if (likes.none_in == plans_) return out;
   bool some = false;
   const std::uint32_t need = size_class(spec.needs);
-  const bool plain = booked_.empty();
-  for (const std::uint32_t k : admitted(slot)) {
+  for (std::uint32_t k = 0; k < kinds_.size(); ++k) {
+    if (!admits(slot, k)) continue;
     for (const auto& [size, machines] : kinds_[k].roomy) {
       if (!covers(size, need)) continue;
       for (const std::uint32_t h : machines) {
-        const PlanHost& host = plain ? hosts_[h].h : now(h);
+        const PlanHost& host = now(h);
         ++looked_.hosts;
         if (count_fitting(spec.needs, host.free.room, 1) == 0) continue;
         some = true;
@@ -732,7 +719,7 @@
   }
   for (const Scope& s : all) {
     Choice c = choose(slot, found, view, want, s, false);
-    if (c.tasks > out.tasks || out.places.empty()) out = std::move(c);
+    if (c.tasks > out.tasks) out = std::move(c);
     if (shape != Shape::daemon || !s.domain) break;
   }
   return out;
@@ -840,7 +827,7 @@
     const std::uint32_t want =
         count_fitting(spec.needs, ceiling_left(budget.team, budget.used), j.job.waiting);
     if (want == 0 || (gang && want < j.job.waiting)) continue;
-    const bool pressed = standing_[slot] == Standing::pressed;
+    const bool pressed = slacks_[slot].standing == Standing::pressed;
     const View places = view(j, want);
     const std::vector<Candidate> found = candidates(slot, want);
     const Choice choice = found.empty() ? Choice{} : best(slot, found, places, want);
--- a/src/planner/include/wrenusher/planner/board.hpp
+++ b/src/planner/include/wrenusher/planner/board.hpp
@@ -49,7 +49,6 @@
   /// Null: nothing stands there.
   const PlanHost* host(Slot slot) const;
   const std::vector<Leaving>& leaving(Slot slot) const;
-  bool is_open(Slot slot) const { return hosts_[slot].open; }
   /// Machines that have the image or fetch it.
   std::vector<Slot> holders(const std::string& bundle) const;
 
@@ -59,7 +58,6 @@
   void set_job(Slot slot, PlanJob job, const std::vector<Objective>& objectives);
   void drop_job(Slot slot);
   const PlanJob& job(Slot slot) const { return jobs_[slot].job; }
-  std::size_t jobs() const { return live_jobs_.size(); }
 
   /// Among machines with room now the least finish, job by job in their order. A task of an array is left
   /// waiting instead where, by the estimates, a place on a machine that has its image becomes free before the
@@ -81,6 +79,7 @@
   void clear();
 
  private:
+  static constexpr std::uint32_t kNoRoom = ~0U;
   // Machines alike in all that decides who may use them.
   struct Kind {
     const Flavor* flavor = nullptr;
@@ -110,7 +109,7 @@
     bool there = false;
     bool open = false;
     std::uint32_t kind = 0;
-    std::uint32_t room = ~0U;  ///< under which size it is filed
+    std::uint32_t room = kNoRoom;  ///< under which size it is filed
     Amount cores = 0;
     std::uint32_t type = 0;
     PlanHost h;
@@ -123,8 +122,7 @@
   };
   /// A place that will be free.
   struct Later {
-    Needs room;  ///< of the machine once it is
-    Slot host = 0;
+    Needs room;               ///< of the machine once it is
     std::uint32_t index = 0;  ///< among the machine's
     std::uint32_t kind = 0;
     std::uint64_t taken = 0;  ///< the plan in which a task waits for it
@@ -137,7 +135,6 @@
   struct Soon {
     Micros in;
     std::uint32_t place;
-    Slot host;
   };
   /// Places in rising order; before `head` all are taken in this plan.
   struct Row {
@@ -208,7 +205,6 @@
     std::vector<Soon> places;
     std::uint32_t within(Micros time, std::uint32_t tasks) const;
   };
-  static constexpr std::uint32_t kNoRoom = ~0U;
 
   std::uint32_t kind_of(const PlanHost& h);
   std::uint32_t likes_of(const PlanJob& job);
@@ -234,7 +230,6 @@
 
   void rank_jobs(const Moment& m);
   std::vector<char> overload(const Moment& m);
-  std::vector<std::uint32_t> admitted(Slot job);
   const PlanHost& now(Slot slot) const;
   PlanHost& booked(Slot slot);
   std::vector<Candidate> candidates(Slot job, std::uint32_t want);
@@ -277,7 +272,7 @@
   Instant clock_{};                  ///< of the plan that is being made
   std::vector<Slot> order_;          ///< of the last plan: the next is much the same
   std::vector<Key> keys_;            ///< by slot
-  std::vector<Standing> standing_;   ///< by slot, overload aside
+  std::vector<Slack> slacks_;        ///< by slot, overload aside
   std::vector<char> mark_;           ///< by machine, for one pass at a time
   std::map<Slot, PlanHost> booked_;  ///< machines as this plan has booked them
   Looked looked_;
--- a/src/planner/include/wrenusher/planner/planner.hpp
+++ b/src/planner/include/wrenusher/planner/planner.hpp
@@ -18,6 +18,7 @@
 using namespace base;
 using namespace settings;
 using namespace protocol;
+using protocol::count_fitting;  // beside the one of whole jobs, below
 
 /// A job's layout under the topology in force.
 struct PlanLayout {
@@ -103,25 +104,17 @@
 
 /// What `preempt` looks at.
 struct Snapshot {
-  WallTime now{};
-  Instant clock{};
   std::vector<PlanJob> jobs;
   std::vector<PlanHost> hosts;
-  std::map<std::string, Needs> teams;  ///< what each team's claims use
-  const Settings* settings = nullptr;
 };
 
 /// The times by which the job should be over, from its acceptance and in rising order: the aims of its class
 /// in the settings, or its own due time.
 std::vector<Micros> targets(const JobSpec& spec, const std::vector<Objective>& objectives);
 
-/// An unfinished job, whether or not some of it waits.
-struct TeamJob {
-  const JobSpec* spec = nullptr;
-  std::uint32_t unfinished = 0;
-  WallTime accepted{};
-};
-/// Tells of one job after the other, in the order of their acceptance, which fit into their team's guarantee.
+/// Tells of one job after the other, in the order of their acceptance, which fit into their team's guarantee
+/// together with the team's earlier ones: they need not wait for other teams. A job that does not fit as a
+/// whole has no claim to go first.
 class Guarantees {
  public:
   explicit Guarantees(const Settings& settings) : settings_(settings) {}
@@ -131,9 +124,6 @@
   const Settings& settings_;
   std::map<std::string, Needs> sums_;
 };
-/// Which jobs fit into their team's guarantee together with the team's earlier ones: they need not wait for
-/// other teams. A job that does not fit as a whole has no claim to go first.
-std::vector<bool> guaranteed(std::vector<TeamJob> jobs, const Settings& settings);
 
 /// How a job stands against its next target.
 enum class Standing {
@@ -162,6 +152,8 @@
 /// How much longer a fetch for the job would make those wait that wait for other images there. Nothing where
 /// tasks of urgency `prod` are among them: beside theirs no other fetch is begun.
 std::optional<Micros> burden(const PlanHost& host, const JobSpec& spec);
+/// How long a task of the job runs on the machine, by its estimate.
+Micros run_time(const PlanHost& host, const PlanJob& job);
 /// Equation (5): when a task started now on this machine would end, counted from now.
 Micros finish_time(const PlanHost& host, const PlanJob& job);
 /// Whether a task of the job could run on a machine of this type, in some zone.
@@ -223,8 +215,6 @@
 Amount in_cores(const Needs& need, const Flavor& f);
 /// How many tasks of a need a team's ceiling allows at once, at least one; a ceiling of 0 is none.
 std::uint32_t most_at_once(const Needs& need, const Needs& ceiling, std::uint32_t most);
-/// How many tasks of a need fit into a room.
-std::uint32_t count_fitting(const Needs& need, const Needs& room, std::uint32_t most);
 /// How many more tasks the job may put into the zone, given where its tasks are.
 std::uint32_t zone_allowance(const JobSpec& spec, const std::map<std::string, std::uint32_t>& zones,
                              const std::string& zone);
--- a/src/planner/planner.cpp
+++ b/src/planner/planner.cpp
@@ -2,10 +2,7 @@
 
 #include <algorithm>
 #include <limits>
-#include <numeric>
-#include <string_view>
 #include <tuple>
-#include <unordered_map>
 
 namespace wrenusher::planner {
 
@@ -45,18 +42,6 @@
   return (team->cores > 0 || team->cards > 0) && cores && cards;
 }
 
-std::vector<bool> guaranteed(std::vector<TeamJob> jobs, const Settings& settings) {
-  std::vector<std::size_t> by_age(jobs.size());
-  std::iota(by_age.begin(), by_age.end(), std::size_t{0});
-  std::sort(by_age.begin(), by_age.end(), [&](std::size_t a, std::size_t b) {
-    return std::tuple(jobs[a].accepted, jobs[a].spec->ref) < std::tuple(jobs[b].accepted, jobs[b].spec->ref);
-  });
-  std::vector<bool> out(jobs.size(), false);
-  Guarantees g(settings);
-  for (const std::size_t i : by_age) out[i] = g.fits(*jobs[i].spec, jobs[i].unfinished);
-  return out;
-}
-
 Amount in_cores(const Needs& need, const Flavor& f) {
   const auto part = [](Amount n, Amount of) {
     return of > 0 ? static_cast<double>(n) / static_cast<double>(of) : 0.0;
@@ -66,15 +51,6 @@
   return static_cast<Amount>(most * static_cast<double>(f.room.cores));
 }
 
-std::uint32_t count_fitting(const Needs& need, const Needs& room, std::uint32_t most) {
-  Amount n = most;
-  if (need.cores > 0) n = std::min(n, room.cores / need.cores);
-  if (need.cards > 0) n = std::min(n, room.cards / need.cards);
-  if (need.memory > 0) n = std::min(n, room.memory / need.memory);
-  if (room.cores < 0 || room.cards < 0 || room.memory < 0) n = 0;
-  return static_cast<std::uint32_t>(std::max<Amount>(n, 0));
-}
-
 std::uint32_t most_at_once(const Needs& need, const Needs& ceiling, std::uint32_t most) {
   Amount n = most;
   if (need.cores > 0 && ceiling.cores > 0) n = std::min(n, ceiling.cores / need.cores);
@@ -245,14 +221,10 @@
   return from_seconds(all / host.flavor->pull_gb_per_s);
 }
 
-namespace {
-
 Micros run_time(const PlanHost& host, const PlanJob& job) {
   return Micros{static_cast<std::int64_t>(static_cast<double>(job.estimate.count()) / host.speed)};
 }
 
-}  // namespace
-
 Micros finish_time(const PlanHost& host, const PlanJob& job) {
   return fetch_time(host, *job.spec) + run_time(host, job);
 }
--- a/src/protocol/include/wrenusher/protocol/messages.hpp
+++ b/src/protocol/include/wrenusher/protocol/messages.hpp
@@ -45,6 +45,9 @@
   bool operator==(const Needs&) const = default;
 };
 
+/// How many tasks of a need fit into a room.
+std::uint32_t count_fitting(const Needs& need, const Needs& room, std::uint32_t most);
+
 /// Where a job's tasks may be in the tree of failure domains, and the named devices each of them needs. An
 /// extension of PROTOCOL that operators switch on with a topology.
 struct Layout {
--- a/src/protocol/messages.cpp
+++ b/src/protocol/messages.cpp
@@ -79,6 +79,15 @@
   return *this;
 }
 
+std::uint32_t count_fitting(const Needs& need, const Needs& room, std::uint32_t most) {
+  Amount n = most;
+  if (need.cores > 0) n = std::min(n, room.cores / need.cores);
+  if (need.cards > 0) n = std::min(n, room.cards / need.cards);
+  if (need.memory > 0) n = std::min(n, room.memory / need.memory);
+  if (room.cores < 0 || room.cards < 0 || room.memory < 0) n = 0;
+  return static_cast<std::uint32_t>(std::max<Amount>(n, 0));
+}
+
 bool JobSpec::allows(const std::string& flavor, const std::string& zone, bool spot) const {
   if (spot && !standby) return false;
   if (!site.empty() && site != zone) return false;
--- a/src/rounds/include/wrenusher/rounds/rounds.hpp
+++ b/src/rounds/include/wrenusher/rounds/rounds.hpp
@@ -80,10 +80,11 @@
   struct Live {
     Job* job;
     Ticket* ticket;
-    bool older(const Live& o) const;
   };
+  static bool older(const Live& a, const Live& b);
 
   void sync();
+  Live take_up(Job& job);
   void see_jobs();
   void see_estimate(Job& job, Ticket& t);
   void see_machines();
@@ -96,7 +97,6 @@
   bool zones_of(const Job& job, planner::PlanJob& p) const;
   bool layout_of(const Job& job, planner::PlanJob& p) const;
   bool near_image(Job& job);
-  bool is_sought(const std::string& flavor) const;
   planner::Moment moment() const;
   void apply(const planner::Plan& plan);
   std::vector<planner::Shortage> urgent(const planner::Plan& plan) const;
--- a/src/rounds/rounds.cpp
+++ b/src/rounds/rounds.cpp
@@ -25,6 +25,11 @@
 constexpr int kEstimateStep = 32;
 constexpr Micros kWaitsEvery = from_seconds(1);
 
+/// A job that would be late by the time a new machine has come takes what is there now.
+bool too_late(const planner::Slack& sl, Micros patience) {
+  return sl.standing == planner::Standing::pressed && sl.left < patience * 5 / 4;
+}
+
 }  // namespace
 
 void Rounds::take_capacity(const CapacitySeen& c) {
@@ -77,36 +82,38 @@
 
 // ---------------------------------------------------------------- keeping the board up
 
-bool Rounds::Live::older(const Live& o) const {
-  return job->rec.accepted != o.job->rec.accepted ? job->rec.accepted < o.job->rec.accepted
-                                                  : job->spec().ref < o.job->spec().ref;
+bool Rounds::older(const Live& a, const Live& b) {
+  return a.job->rec.accepted != b.job->rec.accepted ? a.job->rec.accepted < b.job->rec.accepted
+                                                    : a.job->spec().ref < b.job->spec().ref;
 }
 
 /// A new term, other types or another topology void all that stands on the board.
 void Rounds::sync() {
-  if (generation_ != machines_.generation()) {
-    generation_ = machines_.generation();
-    topology_ = machines_.topology();
-    board_.clear();
-    tickets_.clear();
-    by_age_.clear();
-    job_at_.clear();
-    machine_at_.clear();
-    full_.clear();
-    book_.take_population();
-    for (auto& [ref, job] : book_.jobs()) {
-      Ticket& t = tickets_[job.id];
-      t.fitting = planner::fitting_flavors(job.spec(), *machines_.catalog());
-      by_age_.push_back({&job, &t});
-    }
-    std::sort(by_age_.begin(), by_age_.end(), [](const Live& a, const Live& b) { return a.older(b); });
-    machines_.take_freed();
-    for (auto& [name, m] : machines_.all()) {
-      m.slot = Machine::kNoSlot;
-      machines_.touch(m);
-    }
-    ++state_;
+  if (generation_ == machines_.generation()) return;
+  generation_ = machines_.generation();
+  topology_ = machines_.topology();
+  board_.clear();
+  tickets_.clear();
+  by_age_.clear();
+  job_at_.clear();
+  machine_at_.clear();
+  full_.clear();
+  book_.take_population();
+  for (auto& [ref, job] : book_.jobs()) by_age_.push_back(take_up(job));
+  std::sort(by_age_.begin(), by_age_.end(), older);
+  machines_.take_freed();
+  for (auto& [name, m] : machines_.all()) {
+    m.slot = Machine::kNoSlot;
+    machines_.touch(m);
   }
+  ++state_;
+}
+
+/// A job that is not known here yet.
+Rounds::Live Rounds::take_up(Job& job) {
+  Ticket& t = tickets_[job.id];
+  t.fitting = planner::fitting_flavors(job.spec(), *machines_.catalog());
+  return {&job, &t};
 }
 
 /// Which jobs there are, and what their tasks are estimated to take.
@@ -122,11 +129,8 @@
   for (const std::string& ref : population.in) {
     Job* job = book_.find(ref);
     if (job == nullptr || tickets_.contains(job->id)) continue;
-    const Live l{job, &tickets_[job->id]};
-    l.ticket->fitting = planner::fitting_flavors(job->spec(), *machines_.catalog());
-    by_age_.insert(std::upper_bound(by_age_.begin(), by_age_.end(), l,
-                                    [](const Live& a, const Live& b) { return a.older(b); }),
-                   l);
+    const Live l = take_up(*job);
+    by_age_.insert(std::upper_bound(by_age_.begin(), by_age_.end(), l, older), l);
   }
   for (const Live& l : by_age_) see_estimate(*l.job, *l.ticket);
 }
@@ -219,10 +223,6 @@
   ++state_;
 }
 
-bool Rounds::is_sought(const std::string& flavor) const {
-  return sought_.contains(flavor);
-}
-
 // ---------------------------------------------------------------- jobs of which something waits
 
 void Rounds::see_waiting() {
@@ -249,7 +249,7 @@
       t.sought.clear();
       t.patience = Micros{0};
       for (const std::string& name : t.fitting) {
-        if (is_sought(name)) {
+        if (sought_.contains(name)) {
           t.sought.insert(name);
         } else if (!exhausted_.contains(name)) {
           // How long a new machine takes to come, of a type that the job leaves to nobody.
@@ -260,11 +260,7 @@
     const bool patient = now - job.rec.accepted < t.patience && !t.sought.empty();
     const bool near = near_image(job);
     bool pressed = false;
-    if (patient && t.on_board) {
-      // A job that would be late by the time a new machine has come takes what is there now.
-      const planner::Slack sl = board_.standing(t.slot, now);
-      pressed = sl.standing == planner::Standing::pressed && sl.left < t.patience * 5 / 4;
-    }
+    if (patient && t.on_board) pressed = too_late(board_.standing(t.slot, now), t.patience);
     if (t.on_board && !t.unsettled && t.change == job.change && t.state == state_ &&
         t.guaranteed == guaranteed && t.near_image == near && t.patient == patient && t.pressed == pressed)
       continue;
@@ -296,10 +292,8 @@
   p.guaranteed = t.guaranteed;
   p.avoid = &job.avoid;
   if (t.patient) p.keep_off = p.no_rent = t.sought;
-  if (t.patient && !t.on_board) {
-    const planner::Slack sl = planner::slack(p, rt_.wall(), settings_.objectives);
-    t.pressed = sl.standing == planner::Standing::pressed && sl.left < t.patience * 5 / 4;
-  }
+  if (t.patient && !t.on_board)
+    t.pressed = too_late(planner::slack(p, rt_.wall(), settings_.objectives), t.patience);
   if (t.pressed) p.keep_off.clear();
   t.unsettled = !zones_of(job, p) || !layout_of(job, p);
   if (t.unsettled) {
@@ -450,9 +444,6 @@
   std::vector<planner::Running> running;
   std::vector<Claim*> claims;
   planner::Snapshot after;
-  after.now = rt_.wall();
-  after.clock = rt_.now();
-  after.settings = &settings_;
   std::vector<planner::Shortage> pressing = shortages;
   for (planner::Shortage& sh : pressing) {
     after.jobs.push_back(board_.job(static_cast<Slot>(sh.job)));
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -66,11 +66,7 @@
   Endpoint endpoint() const {
     const std::string s = text();
     const auto colon = s.rfind(':');
-    unsigned a = 0, b = 0, c = 0, d = 0;
-    char more = 0;
-    bool good = colon != std::string::npos &&
-                std::sscanf(s.substr(0, colon).c_str(), "%3u.%3u.%3u.%3u%c", &a, &b, &c, &d, &more) == 4 &&
-                a < 256 && b < 256 && c < 256 && d < 256;
+    bool good = colon != std::string::npos && fields::parse_ipv4(s.substr(0, colon));
     if (good) {
       char* end = nullptr;
       const std::string port = s.substr(colon + 1);
--- a/src/topology/include/wrenusher/topology/topology.hpp
+++ b/src/topology/include/wrenusher/topology/topology.hpp
@@ -87,6 +87,8 @@
   /// By id, from 1; the one at 0 stands for nowhere.
   const std::vector<Domain>& domains() const { return domains_; }
   const Domain& domain(DomainId id) const { return domains_.at(id); }
+  /// The name of the domain's level; not for nowhere.
+  const std::string& level_of(DomainId id) const;
   /// "zone-a > switch-1 > rack-3".
   std::string path(DomainId id) const;
   /// The domain itself or one that it is inside of, at that level; nowhere if there is none.
--- a/src/topology/topology.cpp
+++ b/src/topology/topology.cpp
@@ -28,7 +28,7 @@
 std::pair<std::uint32_t, std::uint32_t> read_range(const Node& n) {
   const std::string text = n.text();
   const auto slash = text.find('/');
-  const auto ip = text.find(':') == std::string::npos ? parse_ip(text.substr(0, slash)) : std::nullopt;
+  const auto ip = fields::parse_ipv4(text.substr(0, slash));
   int bits = 32;
   char more = 0;
   if (!ip || (slash != std::string::npos &&
@@ -61,11 +61,7 @@
 }  // namespace
 
 std::optional<std::uint32_t> parse_ip(const std::string& text) {
-  unsigned a = 0, b = 0, c = 0, d = 0;
-  char more = 0;
-  const int n = std::sscanf(text.c_str(), "%3u.%3u.%3u.%3u%c", &a, &b, &c, &d, &more);
-  if (n < 4 || (n == 5 && more != ':') || a > 255 || b > 255 || c > 255 || d > 255) return std::nullopt;
-  return (a << 24U) | (b << 16U) | (c << 8U) | d;
+  return fields::parse_ipv4(text.substr(0, text.find(':')));
 }
 
 bool glob(const std::string& pattern, const std::string& name) {
@@ -221,8 +217,7 @@
     }
     if (steps > domains_.size()) continue;
     if (d.in != kNowhere && domains_[d.in].level >= d.level)
-      n.fail("a " + levels_[static_cast<std::size_t>(d.level)] + " cannot be inside '" + domains_[d.in].name +
-             "', a " + levels_[static_cast<std::size_t>(domains_[d.in].level)]);
+      n.fail("a " + level_of(id) + " cannot be inside '" + domains_[d.in].name + "', a " + level_of(d.in));
     if (!d.inside.empty() && !d.machines.empty())
       n.fail("has machines of its own and '" + domains_[d.inside.front()].name +
              "' inside: machines belong to the innermost domain");
@@ -288,6 +283,10 @@
   return it == levels_.end() ? -1 : static_cast<int>(it - levels_.begin());
 }
 
+const std::string& Topology::level_of(DomainId id) const {
+  return levels_.at(static_cast<std::size_t>(domains_.at(id).level));
+}
+
 std::string Topology::path(DomainId id) const {
   if (id == kNowhere) return "no known domain";
   std::string out = domains_.at(id).name;
@@ -388,9 +387,7 @@
         if (!spec.flavors.empty() &&
             std::find(spec.flavors.begin(), spec.flavors.end(), name) == spec.flavors.end())
           continue;
-        std::uint64_t n = 0;
-        for (Needs room = f.room; n < spec.units && spec.needs.fits(room); room -= spec.needs) ++n;
-        each = std::max(each, n);
+        each = std::max<std::uint64_t>(each, count_fitting(spec.needs, f.room, spec.units));
       }
       const auto machines = p.most();
       if (each > 0 && !machines) return std::nullopt;
@@ -472,8 +469,7 @@
   for (DomainId id = 1; id < domains_.size(); ++id) {
     const Domain& d = domains_[id];
     if (!d.inside.empty()) continue;
-    out += "  " + levels_[static_cast<std::size_t>(d.level)] + " " + path(id) +
-           (d.machines.empty() ? ": no machines\n" : "\n");
+    out += "  " + level_of(id) + " " + path(id) + (d.machines.empty() ? ": no machines\n" : "\n");
     for (const Pattern& p : d.machines) out += machines(p);
   }
   for (const auto& [name, where] : devices_) {
--- a/src/watch/watch.cpp
+++ b/src/watch/watch.cpp
@@ -82,10 +82,10 @@
     if (s.lost && t.late < t.all) {
       s.lost = false;
       if (s.told)
-        log::info(
-            "domain_heard", "{level} {domain} is heard again after {seconds:.0f} s: trusted step by step",
-            log::with("level", topology_->levels()[static_cast<std::size_t>(topology_->domain(id).level)]),
-            log::with("domain", topology_->path(id)), log::with("seconds", to_seconds(now - s.since)));
+        log::info("domain_heard",
+                  "{level} {domain} is heard again after {seconds:.0f} s: trusted step by step",
+                  log::with("level", topology_->level_of(id)), log::with("domain", topology_->path(id)),
+                  log::with("seconds", to_seconds(now - s.since)));
       s.since = now;
       s.machines = t.all;
     }
@@ -109,8 +109,8 @@
     if (above_lost(id)) continue;
     log::warn("domain_lost",
               "{level} {domain} is lost: none of its {machines} machines is heard, nothing is placed there",
-              log::with("level", topology_->levels()[static_cast<std::size_t>(topology_->domain(id).level)]),
-              log::with("domain", topology_->path(id)), log::with("machines", s.machines));
+              log::with("level", topology_->level_of(id)), log::with("domain", topology_->path(id)),
+              log::with("machines", s.machines));
   }
 }
 
--- a/tests/planner_oracle.cpp
+++ b/tests/planner_oracle.cpp
@@ -373,12 +373,8 @@
 
 Snapshot snapshot(const Burst& s) {
   Snapshot out;
-  out.now = s.now;
-  out.clock = s.clock;
   out.jobs = s.jobs;
   for (const Here& h : s.here) out.hosts.push_back(h.host);
-  out.teams = s.teams;
-  out.settings = s.settings;
   return out;
 }
 
--- a/tests/planner_test.cpp
+++ b/tests/planner_test.cpp
@@ -68,6 +68,22 @@
 Plan planned(const Burst& s) {
   return oracle::board_place(s);
 }
+/// An unfinished job.
+struct TeamJob {
+  const JobSpec* spec = nullptr;
+  std::uint32_t unfinished = 0;
+  WallTime accepted{};
+};
+/// Which fit into their team's guarantee, told in the order of their acceptance.
+std::vector<bool> guaranteed(const std::vector<TeamJob>& jobs, const Settings& settings) {
+  std::map<WallTime, std::size_t> by_age;
+  for (std::size_t i = 0; i < jobs.size(); ++i) by_age[jobs[i].accepted] = i;
+  std::vector<bool> out(jobs.size());
+  Guarantees g(settings);
+  for (const auto& [at, i] : by_age) out[i] = g.fits(*jobs[i].spec, jobs[i].unfinished);
+  return out;
+}
+
 std::vector<std::size_t> served(const Burst& s) {
   return oracle::board_order(s);
 }
