--- a/apps/wrenlab/main.cpp
+++ b/apps/wrenlab/main.cpp
@@ -260,8 +260,7 @@
 
 // ---------------------------------------------------------------- experiments
 
-int day(const std::string& file, int seeds, int first, const std::string& json) {
-  const lab::Site site = site_of(file);
+std::vector<lab::DayResult> play(const lab::Site& site, int seeds, int first) {
   const bool bar = isatty(STDERR_FILENO) != 0;
   std::vector<lab::DayResult> days;
   for (int i = 0; i < seeds; ++i) {
@@ -274,6 +273,22 @@
     days.push_back(lab::play_day(site, static_cast<std::uint64_t>(first + i)));
   }
   if (bar) std::cerr << "\r\033[K";
+  return days;
+}
+
+int day(const std::string& file, int seeds, int first, const std::string& json, const std::string& standby) {
+  lab::Site site = site_of(file);
+  site.settings.tunables.standby = standby != "off";
+  const std::vector<lab::DayResult> days = play(site, seeds, first);
+  if (standby == "both") {
+    // The same days with and without what a standby holds ready.
+    lab::Site cold = site;
+    cold.settings.tunables.standby = false;
+    const std::vector<lab::DayResult> without = play(cold, seeds, first);
+    std::cout << "without a standby:\n"
+              << lab::day_table(cold, without) << "\nfrom without to with:\n"
+              << lab::comparison_table(lab::compare_days(without, days)) << "\nwith a standby:\n";
+  }
   if (json == "-") {
     std::cout << lab::day_json(site, days).dump(1) << '\n';
   } else if (!json.empty()) {
@@ -331,11 +346,15 @@
   std::string json;
   int seeds = 1;
   int first = 1;
+  std::string standby = "on";
   auto* c_day = app.add_subcommand("day", "play a site's day in simulated time, with the rules' checker on");
   c_day->add_option("FILE", file, "site file (YAML); a small built-in one otherwise");
   c_day->add_option("--seeds", seeds, "how many days, each with another seed (1)")
       ->check(CLI::Range(1, 10000));
   c_day->add_option("--first", first, "the first seed (1)")->check(CLI::Range(1, 1000000));
+  c_day
+      ->add_option("--standby", standby, "on (default), off, or both: the same days without and with, paired")
+      ->check(CLI::IsMember({"on", "off", "both"}));
   c_day->add_option(
       "--json", json,
       "also write all figures of all days to this file; -: to standard output, in place of the table");
@@ -386,7 +405,7 @@
       return up(options);
     }
     if (*c_demo) return demo(options);
-    if (*c_day) return day(file, seeds, first, json);
+    if (*c_day) return day(file, seeds, first, json, standby);
     if (*c_compare) return compare(file_a, file_b);
     if (*c_status) return status(options.port);
     for (auto* c : c_acts) {
--- a/lab/models/include/wrenusher/lab/machines.hpp
+++ b/lab/models/include/wrenusher/lab/machines.hpp
@@ -67,6 +67,8 @@
   /// Tells when a task starts and how long it runs; a driver's accounts.
   std::function<void(const std::string& ref, std::uint32_t task)> on_start;
   std::function<void(const std::string& ref, std::uint32_t task)> on_done;
+  /// A worker takes an order to run a task; whether it has the image already.
+  std::function<void(bool has_image)> on_order;
 
  private:
   struct Task;
--- a/lab/models/machines.cpp
+++ b/lab/models/machines.cpp
@@ -516,6 +516,7 @@
   t.status = "pulling";
   // The tasks of a job are alike, give or take a quarter; a gang's are one.
   t.luck = job->spec.shape == Shape::gang ? 1 : wires_.uniform(0.75, 1.25);
+  if (on_order) on_order(m.has(job->spec.bundle));
   if (!m.has(job->spec.bundle)) m.pulls.try_emplace(job->spec.bundle, job->spec.image_gb);
   m.tasks.push_back(std::move(t));
 }
--- a/lab/sim/day.cpp
+++ b/lab/sim/day.cpp
@@ -1,5 +1,6 @@
 #include "wrenusher/lab/day.hpp"
 
+#include <algorithm>
 #include <boost/histogram.hpp>
 #include <cmath>
 #include <cstdio>
@@ -83,10 +84,12 @@
 
 using Lost = std::map<std::pair<std::string, std::uint32_t>, Instant>;
 
-void troubles(World& w, const Site& site, Lost& lost) {
+void troubles(World& w, const Site& site, Lost& lost,
+              const std::function<void(const std::string& what)>& struck) {
   for (const TroubleSpec& t : site.troubles) {
     for (Micros at = t.at; at < site.length; at += t.every) {
-      w.at(at, [&w, &t, &lost] {
+      w.at(at, [&w, &t, &lost, struck] {
+        struck(t.what);
         if (t.what.starts_with("domain_")) {
           const auto hosts = w.hosts_in(t.whom);
           for (const auto& unit : w.checker.on_any({hosts.begin(), hosts.end()})) lost.emplace(unit, w.now());
@@ -98,6 +101,71 @@
   }
 }
 
+/// Takeovers and the starts around them, by cause.
+class TakeoverTally {
+ public:
+  void struck(const std::string& what, Instant at) {
+    if (what.starts_with("controller_") || what.starts_with("all_") || what.starts_with("rolling_") ||
+        what.starts_with("state_"))
+      struck_.emplace_back(at, what);
+  }
+  void ordered(Instant at, bool has_image) { orders_.emplace_back(at, has_image); }
+  void add_to(Figures& f, const std::vector<World::Takeover>& all) const {
+    std::map<std::string, std::vector<double>> seen;
+    for (const World::Takeover& t : all) {
+      const auto* s = cause(t.began);
+      if (s == nullptr) continue;  // the first term takes over from nobody
+      const std::string name = "takeover." + s->second;
+      const auto add = [&](const char* what, Micros part) {
+        if (part.count() >= 0) seen[name + what].push_back(to_seconds(part));
+      };
+      add(".term", t.began - s->first);
+      const auto order =
+          std::find_if(orders_.begin(), orders_.end(), [&](const auto& o) { return o.first >= t.began; });
+      if (order != orders_.end()) add(".first_start", order->first - s->first);
+      add(".noticed", t.parts.noticed);
+      add(".records", t.parts.read);
+      add(".first_machine", t.parts.first_machine);
+      add(".most_machines", t.parts.most_machines);
+      add(".last_machine", t.parts.last_machine);
+      add(".settled", t.parts.whole);
+      seen[name + ".warm"].push_back(t.parts.warm ? 1 : 0);
+      const double before = with_image(s->first - kAround, s->first);
+      const double after = with_image(t.began, t.began + kAround);
+      if (before >= 0 && after >= 0) seen[name + ".image_lost"].push_back(before - after);
+    }
+    for (auto& [name, values] : seen) {
+      std::sort(values.begin(), values.end());
+      f[name] = values[values.size() / 2];
+    }
+  }
+
+ private:
+  static constexpr Micros kAround = from_seconds(20);
+  static constexpr std::size_t kFew = 10;
+  /// The last trouble before the term; null where there was none of late.
+  const std::pair<Instant, std::string>* cause(Instant began) const {
+    const std::pair<Instant, std::string>* last = nullptr;
+    for (const auto& s : struck_) {
+      if (s.first <= began && began - s.first < from_seconds(30)) last = &s;
+    }
+    return last;
+  }
+  /// The share of starts for which the image was there; negative where there are few.
+  double with_image(Instant from, Instant to) const {
+    std::size_t all = 0;
+    std::size_t had = 0;
+    for (const auto& [at, has] : orders_) {
+      if (at < from || at >= to) continue;
+      ++all;
+      had += has ? 1 : 0;
+    }
+    return all < kFew ? -1 : static_cast<double>(had) / static_cast<double>(all);
+  }
+  std::vector<std::pair<Instant, std::string>> struck_;
+  std::vector<std::pair<Instant, bool>> orders_;
+};
+
 }  // namespace
 
 DayResult play_day(const Site& site, std::uint64_t seed) {
@@ -116,7 +184,9 @@
     classes[w.machines().job(ref)->spec.queue].waits.add(w.now() - job->second.submitted);
   };
   arrivals(w, site, seed);
-  troubles(w, site, lost);
+  TakeoverTally takeovers;
+  w.machines().on_order = [&](bool has_image) { takeovers.ordered(w.now(), has_image); };
+  troubles(w, site, lost, [&](const std::string& what) { takeovers.struck(what, w.now()); });
   w.run(site.length);
 
   DayResult out;
@@ -183,6 +253,7 @@
   f["state_requests"] = static_cast<double>(requests);
   f["state_refusals"] = static_cast<double>(w.state().refusals());
   f["cloud_requests"] = static_cast<double>(w.cloud().requests());
+  takeovers.add_to(f, w.takeovers());
   f["takeovers"] = static_cast<double>(w.terms()) - 1;
   f["starts"] = static_cast<double>(w.checker.starts());
   f["rules_broken"] = static_cast<double>(w.checker.notes().size());
@@ -215,6 +286,42 @@
 
 }  // namespace
 
+/// Median and worst of the days, a row a cause.
+std::string takeover_table(const std::vector<DayResult>& days) {
+  constexpr std::pair<const char*, const char*> kParts[] = {{"term", "term"},
+                                                            {"records", "records"},
+                                                            {"first_machine", "1st machine"},
+                                                            {"first_start", "1st order"},
+                                                            {"most_machines", "9 in 10"},
+                                                            {"last_machine", "last"},
+                                                            {"settled", "settled"},
+                                                            {"image_lost", "images lost"}};
+  std::map<std::string, std::map<std::string, std::vector<double>>> causes;
+  for (const DayResult& d : days) {
+    for (const auto& [name, value] : d.figures) {
+      if (!name.starts_with("takeover.")) continue;
+      const auto dot = name.rfind('.');
+      causes[name.substr(9, dot - 9)][name.substr(dot + 1)].push_back(value);
+    }
+  }
+  if (causes.empty()) return {};
+  char text[64];
+  std::string out =
+      "takeovers, s (median/worst; term and 1st order since the trouble, the rest since the term)\n";
+  for (auto& [cause, parts] : causes) {
+    out += "  " + cause + ":";
+    for (const auto& [part, title] : kParts) {
+      auto& values = parts[part];
+      if (values.empty()) continue;
+      std::sort(values.begin(), values.end());
+      std::snprintf(text, sizeof text, " %s %.2f/%.2f,", title, values[values.size() / 2], values.back());
+      out += text;
+    }
+    out.back() = '\n';
+  }
+  return out;
+}
+
 std::string day_table(const Site& site, const std::vector<DayResult>& days) {
   char line[300];
   std::snprintf(line, sizeof line, "site %s, %.0f s, %zu day%s, simulated\n", site.name.c_str(),
@@ -244,6 +351,7 @@
   out += "state service " + total("state_requests", "%.0f") + " requests, " + total("state_writes", "%.0f") +
          " changes, " + total("state_refusals", "%.0f") + " refused; cloud " +
          total("cloud_requests", "%.0f") + " requests; takeovers " + total("takeovers", "%.1f") + "\n";
+  out += takeover_table(days);
   std::size_t broken = 0;
   for (const DayResult& d : days) {
     for (const std::string& b : d.broken) {
--- a/lab/sim/include/wrenusher/lab/day.hpp
+++ b/lab/sim/include/wrenusher/lab/day.hpp
@@ -18,7 +18,8 @@
   std::vector<std::string> broken;  ///< rules, a line each
 };
 
-/// Plays the site's day once; everything follows from the seed.
+/// Plays the site's day once; everything follows from the seed. Of each takeover the figures are named by its
+/// cause, the last trouble of a controller before it: "takeover.controller_crash.first_start", ...
 DayResult play_day(const Site& site, std::uint64_t seed);
 
 /// Means over the days, a row a class, and the rules that were broken.
--- a/lab/sim/include/wrenusher/lab/world.hpp
+++ b/lab/sim/include/wrenusher/lab/world.hpp
@@ -126,6 +126,14 @@
   const StateService& state() const { return state_; }
   Machines& machines() { return machines_; }
   const Cloud& cloud() const { return cloud_; }
+  /// A takeover that is over, and when its term began.
+  struct Takeover {
+    Instant began{};
+    mail::TakenOver parts;
+  };
+  const std::vector<Takeover>& takeovers() const { return takeovers_; }
+  /// How much of what a leader knows the controller has; cold while it does not run.
+  mail::Readiness ready(int controller) const;
   /// Terms of leadership so far.
   std::uint64_t terms() const;
 
@@ -145,6 +153,7 @@
   Users users_;
   std::vector<std::unique_ptr<Node>> nodes_;
   std::vector<std::unique_ptr<Node>> graveyard_;
+  std::vector<Takeover> takeovers_;
 };
 
 }  // namespace wrenusher::lab
--- a/lab/sim/world.cpp
+++ b/lab/sim/world.cpp
@@ -200,6 +200,9 @@
   wires_.serve_at(peer_of(i), name, [n](const std::string&, const Request& r, const Answer& a) {
     n->runtime.run([n, r, a] { n->controller.serve_peer(r, a); });
   });
+  n->controller.taken_over().connect(n->runtime, [this](const mail::TakenOver& t) {
+    takeovers_.push_back({now() - t.told_after, t});
+  });
   n->controller.start();
 }
 
@@ -276,6 +279,11 @@
   }
 }
 
+mail::Readiness World::ready(int controller) const {
+  const auto& n = nodes_[static_cast<std::size_t>(controller)];
+  return n ? n->controller.ready() : mail::Readiness::cold;
+}
+
 int World::leader() const {
   for (std::size_t i = 0; i < nodes_.size(); ++i) {
     if (nodes_[i] && nodes_[i]->controller.certain()) return static_cast<int>(i);
--- a/src/base/include/wrenusher/base/runtime.hpp
+++ b/src/base/include/wrenusher/base/runtime.hpp
@@ -21,6 +21,7 @@
   std::string method;
   std::string target;
   std::string body;
+  bool once = false;  ///< nothing else is to be asked there soon: its connection is not kept
 };
 
 struct Response {
--- a/src/book/book.cpp
+++ b/src/book/book.cpp
@@ -17,6 +17,7 @@
   teams_.clear();
   dirty_.clear();
   over_.clear();
+  loaded_ = 0;
   // Versions rise from term to term as well: of two copies of a block the newer one is known.
   clock_ = epoch << 32U;
   ++news_;
@@ -117,6 +118,7 @@
   // What was found at takeover may run for long; reports tell which of it still waits.
   Claim& made = job.claims.emplace(task, c).first->second;
   if (phase == Phase::fresh) begin_pull(job, made);
+  if (phase == Phase::loaded) ++loaded_;
   job.last_try = std::max(job.last_try, attempt);
   tenants_[&m].emplace(std::pair(job.id, task), &job);
   machines_.book(m, job.spec());
@@ -175,6 +177,7 @@
 
 void Book::set_phase(const Job& job, Claim& c, Phase phase) {
   if (c.phase == phase) return;
+  if (c.phase == Phase::loaded) --loaded_;
   if (c.phase == Phase::running) Machines::rests(*c.at, job.spec());
   if (phase == Phase::running) Machines::runs(*c.at, job.spec());
   machines_.touch(*c.at);
--- a/src/book/include/wrenusher/book/book.hpp
+++ b/src/book/include/wrenusher/book/book.hpp
@@ -114,6 +114,8 @@
   const std::map<std::string, Needs>& teams() const { return teams_; }
   /// Rises whenever room is freed or work arrives: reasons to plan.
   std::uint64_t news() const { return news_; }
+  /// Claims found in the record that no report has shown or ended yet.
+  std::size_t loaded() const { return loaded_; }
   /// Jobs that were taken up and dropped since the last call.
   struct Population {
     std::vector<std::string> in;     ///< names; some may be dropped again
@@ -170,6 +172,7 @@
   std::uint64_t clock_ = 0;  ///< version of the newest change
   std::uint64_t jobs_taken_ = 0;
   std::uint64_t news_ = 0;
+  std::size_t loaded_ = 0;
   Population population_;
   std::unordered_map<std::string, Job> jobs_;
   std::unordered_map<const Machine*, Tenants> tenants_;
--- a/src/controller/controller.cpp
+++ b/src/controller/controller.cpp
@@ -18,6 +18,7 @@
       survey_(rt, settings_.tunables.topology, std::move(reader)),
       leadership_(rt, settings_, store_),
       peer_(rt, settings_),
+      standby_(rt, settings_, store_),
       frontdesk_(rt, settings_, store_),
       fleet_(rt, settings_),
       ledger_(rt, settings_, store_),
@@ -28,10 +29,26 @@
   wire(rt, leadership_.changed, fleet_, &Fleet::on_term);
   wire(rt, leadership_.changed, provisioner_, &Provisioner::on_term);
   wire(rt, leadership_.changed, ledger_, &Ledger::on_term);
+  wire(rt, leadership_.changed, standby_, &Standby::on_term);
   wire(rt, leadership_.certainty, fleet_, &Fleet::on_certainty);
   wire(rt, leadership_.certainty, ledger_, &Ledger::on_certainty);
   wire(rt, leadership_.certainty, provisioner_, &Provisioner::on_certainty);
 
+  wire(rt, leadership_.ceding, standby_, &Standby::on_ceding);
+  wire(rt, leadership_.ceding, peer_, &Peer::on_ceding);
+  wire(rt, peer_.sent, standby_, &Standby::on_beat);
+  wire(rt, peer_.aside, standby_, &Standby::on_aside);
+  wire(rt, standby_.aside, peer_, &Peer::on_aside);
+  wire(rt, standby_.readiness, peer_, &Peer::on_ready);
+  wire(rt, standby_.readiness, leadership_, &Leadership::on_ready);
+  wire(rt, standby_.inherited, fleet_, &Fleet::on_inherited);
+  wire(rt, standby_.inherited, provisioner_, &Provisioner::on_inherited);
+  wire(rt, standby_.inherited, ledger_, &Ledger::on_inherited);
+  wire(rt, standby_.copied, ledger_, &Ledger::on_copied);
+  wire(rt, ledger_.hints, standby_, &Standby::on_ledger);
+  wire(rt, provisioner_.hints, standby_, &Standby::on_rentals);
+  wire(rt, provisioner_.gone, standby_, &Standby::on_gone);
+
   wire(rt, survey_.read, leadership_, &Leadership::on_topology);
   wire(rt, survey_.read, peer_, &Peer::on_topology);
   wire(rt, leadership_.force, peer_, &Peer::on_force);
@@ -74,6 +91,7 @@
   survey_.start();
   leadership_.start();
   peer_.start();
+  standby_.start();
   fleet_.start();
   ledger_.start();
   provisioner_.start();
--- a/src/controller/include/wrenusher/controller/controller.hpp
+++ b/src/controller/include/wrenusher/controller/controller.hpp
@@ -8,6 +8,7 @@
 #include "wrenusher/membership/leadership.hpp"
 #include "wrenusher/membership/peer.hpp"
 #include "wrenusher/provisioner/provisioner.hpp"
+#include "wrenusher/standby/standby.hpp"
 #include "wrenusher/survey/survey.hpp"
 
 namespace wrenusher::controller {
@@ -16,6 +17,7 @@
 using namespace settings;
 using namespace store;
 using namespace membership;
+using namespace standby;
 using namespace desk;
 using namespace fleet;
 using namespace ledger;
@@ -33,6 +35,10 @@
   void serve_peer(const Request& request, const Answer& answer) { peer_.serve(request, answer); }
 
   bool certain() const { return leadership_.certain(); }
+  /// The parts of this node's takeovers, as they are over.
+  Sink<TakenOver>& taken_over() { return ledger_.taken_over; }
+  /// How much of what a leader knows this node has.
+  Readiness ready() const { return standby_.ready(); }
   std::string disagreement() const { return ledger_.disagreement(); }
 
  private:
@@ -41,6 +47,7 @@
   survey::Survey survey_;
   Leadership leadership_;
   Peer peer_;
+  Standby standby_;
   Frontdesk frontdesk_;
   Fleet fleet_;
   Ledger ledger_;
--- a/src/estimates/estimator.cpp
+++ b/src/estimates/estimator.cpp
@@ -41,6 +41,40 @@
   return cautious_median(std::move(means), kPrior);
 }
 
+void Estimator::Host::reckon() {
+  speed = std::clamp(std::exp(-cautious_median({ratios.begin(), ratios.end()}, kHostPrior)), 0.2, 1.5);
+}
+
+std::vector<std::string> Estimator::queues() const {
+  std::vector<std::string> out;
+  for (const auto& [name, q] : queues_) out.push_back(name);
+  return out;
+}
+
+std::pair<int, double> Estimator::slowness(const std::string& host) const {
+  const auto it = hosts_.find(host);
+  if (it == hosts_.end()) return {0, 0};
+  const auto& ratios = it->second.ratios;
+  return {static_cast<int>(ratios.size()), cautious_median({ratios.begin(), ratios.end()}, 0)};
+}
+
+void Estimator::inherit(const std::string& queue, std::deque<Seen> jobs) {
+  std::erase_if(jobs, [](const Seen& s) { return s.tasks <= 0; });
+  while (jobs.size() > kJobs) jobs.pop_front();
+  if (jobs.empty()) return;
+  Queue& q = queues_[queue];
+  q.jobs = std::move(jobs);
+  q.usual = usual(q.jobs);
+  ++q.version;
+}
+
+void Estimator::inherit_host(const std::string& host, int tasks, double slowness) {
+  if (tasks <= 0) return;
+  Host& h = hosts_[host];
+  h.ratios.assign(std::min<std::size_t>(static_cast<std::size_t>(tasks), kHostTasks), slowness);
+  h.reckon();
+}
+
 void Estimator::ran(const JobSpec& spec, const std::string& host, Micros took) {
   if (spec.expected.count() <= 0 || took.count() <= 0) return;
   const double ratio = std::log(to_seconds(took) / to_seconds(spec.expected));
@@ -49,8 +83,7 @@
     auto& h = hosts_[host];
     h.ratios.push_back(ratio - s->mean());
     if (h.ratios.size() > kHostTasks) h.ratios.pop_front();
-    h.speed =
-        std::clamp(std::exp(-cautious_median({h.ratios.begin(), h.ratios.end()}, kHostPrior)), 0.2, 1.5);
+    h.reckon();
   }
   Queue& seen_there = queues_[spec.queue];
   auto& queue = seen_there.jobs;
--- a/src/estimates/include/wrenusher/estimates/estimator.hpp
+++ b/src/estimates/include/wrenusher/estimates/estimator.hpp
@@ -5,6 +5,7 @@
 #include <deque>
 #include <map>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "wrenusher/protocol/messages.hpp"
@@ -25,7 +26,6 @@
   std::uint64_t version(const std::string& queue) const;
   void forget_host(const std::string& host) { hosts_.erase(host); }
 
- private:
   /// What the tasks of one job showed, as logarithms of (seen / expected).
   struct Seen {
     std::string ref;
@@ -33,6 +33,16 @@
     int tasks = 0;
     double mean() const { return sum / tasks; }
   };
+  /// The queues of which something was seen.
+  std::vector<std::string> queues() const;
+  const std::deque<Seen>& jobs_of(const std::string& queue) const { return queues_.at(queue).jobs; }
+  /// How many tasks told of the machine's speed, and the median of what they said as a logarithm.
+  std::pair<int, double> slowness(const std::string& host) const;
+  /// What another saw stands in place of what was seen here: of a queue, of a machine.
+  void inherit(const std::string& queue, std::deque<Seen> jobs);
+  void inherit_host(const std::string& host, int tasks, double slowness);
+
+ private:
   const Seen* seen(const JobSpec& spec) const;
   /// The usual logarithm of (seen / expected) in a queue.
   static double usual(const std::deque<Seen>& jobs);
@@ -46,6 +56,7 @@
   };
   std::map<std::string, Queue> queues_;
   struct Host {
+    void reckon();
     std::deque<double> ratios;
     double speed = 1.0;  ///< what they say; asked for far more often than they change
   };
--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -14,6 +14,10 @@
 constexpr Micros kReportDelay = from_seconds(1.5);
 /// With fewer machines than this nothing is told from how many are silent.
 constexpr std::size_t kFewHosts = 6;
+/// Workers asked for their word at a time. Whoever is short of processor gets the answers later and asks
+/// less.
+constexpr std::size_t kMostCalls = 24;
+constexpr Micros kCallTimeout = from_seconds(1.5);
 }  // namespace
 
 Fleet::Fleet(Runtime& rt, const Settings& settings) : rt_(rt), settings_(settings) {}
@@ -37,6 +41,10 @@
     watch_.clear();
     doubted_.clear();
   }
+  if (begins || !t.leading) {
+    calls_.clear();
+    calling_ = 0;
+  }
 }
 
 Response Fleet::elsewhere() const {
@@ -125,6 +133,52 @@
             });
 }
 
+void Fleet::on_inherited(const std::shared_ptr<const Inheritance>& all) {
+  if (!term_.leading || term_.epoch != all->term) return;
+  // First those that have room for what waits; last those that were silent before.
+  for (const int turn : {0, 1, 2}) {
+    for (const auto& [host, m] : all->machines) {
+      const int its = m.quiet ? 2 : m.room ? 0 : 1;
+      if (its == turn && !m.addr.empty()) calls_.push_back({host, m.addr, m.tenure, false});
+    }
+  }
+  call_over();
+}
+
+void Fleet::call_over() {
+  while (calling_ < kMostCalls && !calls_.empty()) {
+    const Call c = std::move(calls_.front());
+    calls_.pop_front();
+    // It has come by itself, or is no more.
+    if (hosts_.contains(c.host) || gone_.contains(c.host)) continue;
+    ++calling_;
+    Request r{"POST", "/orders",
+              encode(Value::Map{{"epoch", term_.epoch}, {"tenure", c.tenure}, {"orders", Value::List{}}}),
+              true};
+    rt_.fetch(c.addr, std::move(r), kCallTimeout,
+              [this, c, epoch = term_.epoch](const Outcome& o) { called(c, epoch, o); });
+  }
+}
+
+void Fleet::called(const Call& c, std::uint64_t epoch, const Outcome& o) {
+  if (!term_.leading || term_.epoch != epoch) return;
+  --calling_;
+  const auto v = o.answered && (o.response.status == 200 || o.response.status == 409)
+                     ? decode(o.response.body)
+                     : std::nullopt;
+  if (auto report = v ? read_report(*v) : std::nullopt; report && report->host == c.host) {
+    if (report->epoch > epoch) {
+      deposed(Deposed{report->epoch});
+    } else if (report->epoch == epoch) {
+      take(std::move(*report), false, [](const std::vector<Order>&) {});
+    } else if (!c.again) {
+      // It has begun another tenure since it was told of.
+      calls_.push_front({c.host, c.addr, report->tenure, true});
+    }
+  }
+  call_over();
+}
+
 void Fleet::on_topology(const TopologyInForce& t) {
   if (topology_ == t.topology) return;
   topology_ = t.topology;
--- a/src/fleet/include/wrenusher/fleet/fleet.hpp
+++ b/src/fleet/include/wrenusher/fleet/fleet.hpp
@@ -30,6 +30,8 @@
   void on_gone(const HostGone& g);
   void on_topology(const TopologyInForce& t);
   void on_direct(const DirectOrders& d);
+  /// Calls the workers that the last leader had over to this one.
+  void on_inherited(const std::shared_ptr<const Inheritance>& all);
 
   Sink<HostReported> reported;
   Sink<HostQuiet> quiet;
@@ -49,6 +51,15 @@
     bool quiet = false;
     std::optional<Instant> taken;  ///< by then the cloud will have taken it away, as it said itself
   };
+  /// A worker that is asked for its word by empty orders: that raises its token, so that it reports at once.
+  struct Call {
+    std::string host;
+    std::string addr;
+    std::uint64_t tenure = 0;
+    bool again = false;  ///< its tenure was another than believed
+  };
+  void call_over();
+  void called(const Call& c, std::uint64_t epoch, const Outcome& o);
   void tick();
   void look_at_domains(Micros late);
   Response elsewhere() const;
@@ -68,6 +79,8 @@
   std::shared_ptr<const topology::Topology> topology_;
   watch::Watch watch_;
   std::set<std::string> doubted_;  ///< as it was last told
+  std::deque<Call> calls_;         ///< still to be made, in order
+  std::size_t calling_ = 0;
   std::set<std::string> gone_;
   std::deque<std::string> gone_order_;
 };
--- a/src/ledger/include/wrenusher/ledger/ledger.hpp
+++ b/src/ledger/include/wrenusher/ledger/ledger.hpp
@@ -4,14 +4,18 @@
 // answers, reports, rounds, accounts. What each room knows is that room's own; the ledger passes messages in
 // and results out. It may depend on every room, on store, mail and what they depend on.
 
+#include <map>
 #include <memory>
+#include <set>
 #include <string>
+#include <vector>
 
 #include "wrenusher/accounts/accounts.hpp"
 #include "wrenusher/book/book.hpp"
 #include "wrenusher/estimates/estimator.hpp"
 #include "wrenusher/held/held.hpp"
 #include "wrenusher/ledger/takeover.hpp"
+#include "wrenusher/ledger/takeover_times.hpp"
 #include "wrenusher/machines/machines.hpp"
 #include "wrenusher/mail/mail.hpp"
 #include "wrenusher/reports/reports.hpp"
@@ -41,6 +45,8 @@
   void on_topology(const TopologyInForce& t);
   void on_doubted(const Doubted& d);
   void on_withdrawn(const JobWithdrawn& w);
+  void on_inherited(const std::shared_ptr<const Inheritance>& all);
+  void on_copied(const RecordsCopied& c);
   void on_capacity(const CapacitySeen& c) { rounds_.take_capacity(c); }
 
   /// Has every room reckon anew what it keeps up step by step, and says what differs; empty when nothing
@@ -52,18 +58,27 @@
   Sink<DirectOrders> direct;
   Sink<Deposed> deposed;
   Sink<HostCondemned> suspect;
+  Sink<std::shared_ptr<const LedgerHints>> hints;
+  Sink<TakenOver> taken_over;
 
  private:
   /// Leads, and has read what there is.
   bool open() const { return term_.leading && loaded_; }
   bool open_in(std::uint64_t epoch) const { return open() && term_.epoch == epoch; }
   bool certain() const { return rt_.now() < certain_until_; }
-  void loaded(std::uint64_t revision);
+  void begin();
+  void read_records();
+  void loaded(std::uint64_t revision, bool by_copy);
   void follow(std::uint64_t from, std::uint64_t epoch);
   void take_news(const FollowReply& f);
   void refresh(const std::string& ref);
   void withdraw(Job& job);
 
+  MachineHint hint_of(const Machine& m) const;
+  void tell_hints();
+  void inherit(const WorkerReport& r);
+  void inherit_failures();
+
   void tick();
   void wake();
   void round();
@@ -88,6 +103,14 @@
   bool loaded_ = false;
   bool woken_ = false;
   Instant last_round_{};
+  TakeoverTimes times_;
+  std::map<std::string, MachineHint> inherited_;  ///< of machines not heard in this term yet
+  std::vector<JobHint> failing_;                  ///< until the records are there
+  std::map<std::string, HostReported> early_;     ///< each machine's newest word, likewise
+  Instant next_hints_{};
+  Instant next_queue_hints_{};
+  std::map<std::string, std::uint64_t> queues_told_;  ///< version of what was told
+  std::set<std::string> jobs_told_;
 };
 
 }  // namespace wrenusher::ledger
--- a/src/ledger/include/wrenusher/ledger/takeover.hpp
+++ b/src/ledger/include/wrenusher/ledger/takeover.hpp
@@ -1,5 +1,6 @@
 #pragma once
-// Reads the live jobs and their claims from the store at the start of a term.
+// Brings the live jobs and their claims into the book at the start of a term: from the store, or from a copy
+// of its records that was checked against it.
 
 #include <functional>
 #include <map>
@@ -30,6 +31,8 @@
   /// Reads into book and writer, which are to be empty, and then calls `done` with the revision from which
   /// changes are to be followed. Tries for as long as it takes.
   void begin(std::function<void(std::uint64_t revision)> done);
+  /// Takes the copy into book and writer, which are to be empty.
+  void take(const records::Snapshot& copy);
   /// What is being read concerns nobody any more.
   void stop() { ++generation_; }
 
@@ -39,18 +42,20 @@
     std::uint32_t slot = 0;
     records::BlockRecord state;
   };
+  /// The newest copy of every block of a live job.
+  using Blocks = std::map<std::pair<std::string, std::uint32_t>, Found>;
   struct Reading {
     std::uint64_t generation = 0;
     std::uint64_t revision = 0;  ///< of the first page: what changes meanwhile is followed from there
     bool slots = false;          ///< first the jobs, then the slots
     std::string from;
-    std::map<std::pair<std::string, std::uint32_t>, Found> blocks;
+    Blocks blocks;
     std::function<void(std::uint64_t)> done;
   };
   void read(const std::shared_ptr<Reading>& r);
   void take_page(const std::shared_ptr<Reading>& r, const Read& page);
-  void accept_slot(Reading& r, const Row& row);
-  void finish(const Reading& r);
+  void accept_slot(Blocks& blocks, std::uint32_t slot, const records::Snapshot::Slot& s);
+  void restore(const Blocks& blocks);
 
   Runtime& rt_;
   Store& store_;
--- a/src/ledger/ledger.cpp
+++ b/src/ledger/ledger.cpp
@@ -1,6 +1,7 @@
 #include "wrenusher/ledger/ledger.hpp"
 
 #include <algorithm>
+#include <utility>
 
 #include "wrenusher/log/log.hpp"
 
@@ -54,6 +55,16 @@
   const bool same = t.leading && term_.leading && t.epoch == term_.epoch;
   term_ = t;
   if (same) return;
+  begin();
+  times_.stop();
+  if (!term_.leading) return;
+  times_.begin(t, rt_.now());
+  // A standby's copy of the records comes by itself, or the word that there is none.
+  if (!settings_.tunables.standby || settings_.peers.empty()) read_records();
+}
+
+/// Nothing is known of the records.
+void Ledger::begin() {
   loaded_ = false;
   held_.void_all();
   book_.begin(term_.epoch);
@@ -61,29 +72,51 @@
   writer_.begin(term_.stamp);
   takeover_.stop();
   term_began_ = rt_.now();
-  if (term_.leading) takeover_.begin([this](std::uint64_t revision) { loaded(revision); });
+  inherited_.clear();
+  failing_.clear();
+  early_.clear();
+  queues_told_.clear();
 }
 
-void Ledger::loaded(std::uint64_t revision) {
+void Ledger::read_records() {
+  takeover_.begin([this](std::uint64_t revision) { loaded(revision, false); });
+}
+
+void Ledger::on_copied(const RecordsCopied& c) {
+  if (!term_.leading || term_.epoch != c.term || loaded_) return;
+  if (!c.snapshot) {
+    read_records();
+    return;
+  }
+  takeover_.take(*c.snapshot);
+  loaded(c.snapshot->revision, true);
+}
+
+void Ledger::loaded(std::uint64_t revision, bool by_copy) {
   loaded_ = true;
   std::size_t claims = 0;
-  for (const auto& [host, m] : machines_.all()) claims += m.use.claims;
-  log::info("records_read", "term {term}: {jobs} live jobs and {claims} claims read in {seconds:.2f} s",
+  for (const auto& [host, m] : machines_.all()) {
+    claims += m.use.claims;
+    times_.awaits(host);
+  }
+  times_.read(by_copy, rt_.now());
+  inherit_failures();
+  log::info("records_read", "term {term}: {jobs} live jobs and {claims} claims {way} in {seconds:.2f} s",
             log::with("term", term_.epoch), log::with("jobs", book_.jobs().size()),
-            log::with("claims", claims), log::with("seconds", to_seconds(rt_.now() - term_began_)));
+            log::with("claims", claims), log::with("way", by_copy ? "taken over" : "read"),
+            log::with("seconds", to_seconds(rt_.now() - term_began_)));
+  for (const auto& [host, in] : std::exchange(early_, {})) on_report(in);
   follow(revision, term_.epoch);
 }
 
 void Ledger::follow(std::uint64_t from, std::uint64_t epoch) {
-  store_.follow("job/", from, kFollowWait, [this, from, epoch](const FollowReply& f) {
+  store_.follow("job/", from, kFollowWait, Store::Urgent::hold, [this, from, epoch](const FollowReply& f) {
     if (!open_in(epoch)) return;
     std::uint64_t next = from;
     if (f.result == FollowReply::Result::too_old) {
       log::warn("changes_missed", "changes were missed: reading all live jobs again");
-      term_.leading = false;
-      TermChanged again = term_;
-      again.leading = true;
-      on_term(again);
+      begin();
+      read_records();
       return;
     }
     if (f.result == FollowReply::Result::ok) {
@@ -154,13 +187,22 @@
 void Ledger::on_report(const HostReported& in) {
   if (!open()) {
     in.reply({});
+    // A word that came before the records is not lost; its answer was, so that it settles no start.
+    if (term_.leading) early_[in.report->host] = {in.report, in.current, false, [](const auto&) {}};
     return;
   }
   const WorkerReport& r = *in.report;
   // The worker has given up waiting for the last answer; orders in it would come too late to be settled by
   // this report.
   held_.void_answer(r.host);
+  const bool heir = inherited_.contains(r.host);
+  if (heir) inherit(r);
+  const std::uint64_t shown = reports_.shown();
   const reports::Reports::Taken taken = reports_.take(r, in.current, in.settled);
+  // What the report did not show to be under way is not.
+  if (heir) machines_.at(r.host).fetched.clear();
+  if (in.current) times_.heard(r.host, rt_.now());
+  if (reports_.shown() != shown) times_.started(rt_.now());
   if (taken.usable_changed) rounds_.need();
   send(taken.halts);
   for (const HostCondemned& c : taken.suspects) suspect(c);
@@ -191,6 +233,9 @@
 }
 
 void Ledger::on_gone(const HostGone& g) {
+  times_.gone(g.host);
+  inherited_.erase(g.host);
+  early_.erase(g.host);
   if (!open()) return;
   const Machine* m = machines_.find(g.host);
   if (m == nullptr) return;
@@ -255,6 +300,8 @@
   answer_held();
   if (auto p = rounds_.progress()) progress(std::move(p));
   waits_.tell(rt_.now());
+  tell_hints();
+  if (const auto told = times_.ended(book_.loaded(), rt_.now())) taken_over(*told);
 }
 
 void Ledger::answer_held() {
--- a/src/ledger/takeover.cpp
+++ b/src/ledger/takeover.cpp
@@ -9,13 +9,17 @@
 constexpr int kPage = 400;
 constexpr Micros kRetryRead = millis(250);
 
+void tell_unreadable(const std::string& key) {
+  log::error("record_unreadable", "record {key} cannot be read", log::with("key", key));
+}
+
 }  // namespace
 
 bool accept_root(Book& book, const Row& row) {
   const auto ref = records::parse_job_key(row.key);
   auto rec = ref ? records::read_job(row.value) : std::nullopt;
   if (!rec) {
-    log::error("record_unreadable", "record {key} cannot be read", log::with("key", row.key));
+    tell_unreadable(row.key);
     return false;
   }
   book.accept(*ref, std::move(*rec), row.stamp);
@@ -47,7 +51,11 @@
   if (r->revision == 0) r->revision = page.revision;
   for (const Row& row : page.rows) {
     if (r->slots) {
-      accept_slot(*r, row);
+      const auto slot = records::parse_slot_key(row.key);
+      std::size_t unreadable = 0;
+      auto blocks = slot ? records::read_slot(row.value, *slot, unreadable) : std::nullopt;
+      if (!blocks || unreadable > 0) tell_unreadable(row.key);
+      if (blocks) accept_slot(r->blocks, *slot, {row.stamp, std::move(*blocks)});
     } else {
       accept_root(book_, row);
     }
@@ -60,45 +68,42 @@
     r->from.clear();
     read(r);
   } else {
-    finish(*r);
+    restore(r->blocks);
+    r->done(r->revision);
   }
 }
 
 /// Takes note of the newest copy of every block of a live job.
-void Takeover::accept_slot(Reading& r, const Row& row) {
-  const auto slot = records::parse_slot_key(row.key);
-  if (!slot || row.value.list() == nullptr) {
-    log::error("record_unreadable", "record {key} cannot be read", log::with("key", row.key));
-    return;
-  }
-  writer_.found_slot(*slot, row.stamp);
-  for (const Value& item : *row.value.list()) {
-    const auto id = records::read_block_id(item);
-    if (!id) {
-      log::error("record_unreadable", "record {key} cannot be read", log::with("key", row.key));
+void Takeover::accept_slot(Blocks& blocks, std::uint32_t slot, const records::Snapshot::Slot& s) {
+  writer_.found_slot(slot, s.stamp);
+  for (const records::BlockAt& b : s.blocks) {
+    const Job* job = book_.find(b.id.ref);
+    if (job == nullptr || b.id.block >= job->blocks.size()) continue;  // its job is over
+    Found& f = blocks[{b.id.ref, b.id.block}];
+    if (f.version >= b.id.version) continue;
+    if (!b.within(job->spec().units)) {
+      tell_unreadable(records::slot_key(slot));
       continue;
     }
-    const Job* job = book_.find(id->ref);
-    if (job == nullptr || id->block >= job->blocks.size()) continue;  // its job is over
-    Found& f = r.blocks[{id->ref, id->block}];
-    if (f.version >= id->version) continue;
-    auto state = records::read_block(item, job->spec().units);
-    if (!state) {
-      log::error("record_unreadable", "record {key} cannot be read", log::with("key", row.key));
-      continue;
-    }
-    f = {id->version, *slot, std::move(*state)};
+    f = {b.id.version, slot, b.state};
   }
 }
 
-void Takeover::finish(const Reading& r) {
-  for (const auto& [id, found] : r.blocks) {
+void Takeover::restore(const Blocks& blocks) {
+  for (const auto& [id, found] : blocks) {
     Job* job = book_.find(id.first);
-    if (job == nullptr) continue;
+    if (job == nullptr || found.version == 0) continue;
     book_.restore(*job, id.second, found.version, found.state);
     writer_.found_block(*job, id.second, found.slot);
   }
-  r.done(r.revision);
+}
+
+void Takeover::take(const records::Snapshot& copy) {
+  ++generation_;
+  for (const auto& [ref, root] : copy.jobs) book_.accept(ref, root.rec, root.stamp);
+  Blocks blocks;
+  for (const auto& [slot, s] : copy.slots) accept_slot(blocks, slot, s);
+  restore(blocks);
 }
 
 }  // namespace wrenusher::ledger
--- a/src/machines/include/wrenusher/machines/machines.hpp
+++ b/src/machines/include/wrenusher/machines/machines.hpp
@@ -60,9 +60,11 @@
   Instant pulled_at{};                          ///< what is left of fetches is as of then
   std::map<std::string, std::uint64_t> images;  ///< bundle -> order of its last use
   std::map<std::string, double> image_gb;
+  std::map<std::string, double> fetched;  ///< bundle -> GB left of it, as the last term's leader told
   std::map<std::string, Instant> errors;  ///< job -> when its task failed here
   std::uint32_t slot = kNoSlot;           ///< on the planner's board
   bool touched = false;                   ///< changed since the planner last looked
+  bool untold = false;                    ///< changed since standbys were last told
   static constexpr std::uint32_t kNoSlot = ~0U;
   /// Whether tasks may be sent to it.
   bool usable() const { return current && !quiet && !condemned && !warned; }
@@ -97,6 +99,16 @@
   void touch(Machine& m);
   /// Those touched since the last call.
   std::vector<Machine*> take_touched();
+  /// Those touched since the last call that this returned them, at most so many.
+  std::vector<Machine*> take_untold(std::size_t most);
+  /// Images that were held there, those used longest ago first, and fetches under way with what was left of
+  /// them, by another's word: reports put right what is wrong.
+  struct Held {
+    std::string bundle;
+    double gb = 0;
+    double left_gb = 0;  ///< of a fetch; 0: it is held
+  };
+  void inherit(Machine& m, const std::vector<Held>& held);
   /// Slots of machines that are gone.
   std::vector<std::uint32_t> take_freed() { return std::exchange(freed_, {}); }
   /// Rises when all that the planner knows of machines is void: a new term, other types,
@@ -107,7 +119,8 @@
   /// Null until the cloud or the state service has told the types.
   const Catalog* catalog() const { return catalog_.get(); }
   /// Null while the machine's type is not known.
-  const Flavor* flavor(const Machine& m) const;
+  const Flavor* flavor(const Machine& m) const { return type(m.flavor); }
+  const Flavor* type(const std::string& name) const;
 
   /// A claim for a task of the job stands on the machine from now on, or no more.
   void book(Machine& m, const JobSpec& spec);
@@ -148,6 +161,7 @@
   std::shared_ptr<const topology::Topology> topology_;
   std::map<std::string, Machine> machines_;
   std::vector<Machine*> touched_;
+  std::vector<Machine*> untold_;
   std::vector<std::uint32_t> freed_;
   std::set<Machine*> pulling_;
   std::set<std::string> wanted_;
--- a/src/machines/machines.cpp
+++ b/src/machines/machines.cpp
@@ -19,6 +19,7 @@
 void Machines::clear() {
   machines_.clear();
   touched_.clear();
+  untold_.clear();
   freed_.clear();
   pulling_.clear();
   ++generation_;
@@ -29,6 +30,7 @@
   if (it == machines_.end()) return;
   Machine& m = it->second;
   if (m.touched) std::erase(touched_, &m);
+  if (m.untold) std::erase(untold_, &m);
   pulling_.erase(&m);
   if (m.slot != Machine::kNoSlot) freed_.push_back(m.slot);
   machines_.erase(it);
@@ -76,8 +78,28 @@
 }
 
 void Machines::touch(Machine& m) {
-  if (std::exchange(m.touched, true)) return;
-  touched_.push_back(&m);
+  if (!std::exchange(m.untold, true)) untold_.push_back(&m);
+  if (!std::exchange(m.touched, true)) touched_.push_back(&m);
+}
+
+std::vector<Machine*> Machines::take_untold(std::size_t most) {
+  const auto n = static_cast<std::ptrdiff_t>(std::min(most, untold_.size()));
+  std::vector<Machine*> out(untold_.begin(), untold_.begin() + n);
+  untold_.erase(untold_.begin(), untold_.begin() + n);
+  for (Machine* m : out) m->untold = false;
+  return out;
+}
+
+void Machines::inherit(Machine& m, const std::vector<Held>& held) {
+  touch(m);
+  for (const Held& h : held) {
+    if (h.left_gb > 0) {
+      m.fetched[h.bundle] = h.left_gb;
+    } else {
+      m.images[h.bundle] = ++uses_;
+      m.image_gb[h.bundle] = h.gb;
+    }
+  }
 }
 
 std::vector<Machine*> Machines::take_touched() {
@@ -85,9 +107,9 @@
   return std::exchange(touched_, {});
 }
 
-const Flavor* Machines::flavor(const Machine& m) const {
+const Flavor* Machines::type(const std::string& name) const {
   if (!catalog_) return nullptr;
-  const auto it = catalog_->find(m.flavor);
+  const auto it = catalog_->find(name);
   return it == catalog_->end() ? nullptr : &it->second;
 }
 
@@ -130,6 +152,8 @@
   pulling_.insert(&m);
   const auto [it, first] =
       m.pulling.try_emplace(spec.bundle, Pulling{spec.image_gb, spec.image_gb, 0, spec.urgency});
+  if (auto begun = m.fetched.extract(spec.bundle))
+    it->second.left_gb = std::min(it->second.left_gb, begun.mapped());
   ++it->second.tasks;
   it->second.urgency = std::min(it->second.urgency, spec.urgency);
   return true;
--- a/src/mail/include/wrenusher/mail/mail.hpp
+++ b/src/mail/include/wrenusher/mail/mail.hpp
@@ -1,8 +1,8 @@
 #pragma once
 // Package mail: the typed messages that actors send each other through sinks, and nothing else. It owns no
-// state. It may depend on base, settings, protocol and topology; every actor may use it, so that none needs
-// another's header. A new message is a struct here, a sink at its sender and a line in the controller's
-// wiring.
+// state. It may depend on base, settings, protocol, topology and records; every actor may use it, so that
+// none needs another's header. A new message is a struct here, a sink at its sender and a line in the
+// controller's wiring.
 
 #include <functional>
 #include <map>
@@ -13,6 +13,7 @@
 #include <vector>
 
 #include "wrenusher/protocol/messages.hpp"
+#include "wrenusher/records/records.hpp"
 #include "wrenusher/topology/topology.hpp"
 
 namespace wrenusher::mail {
@@ -28,6 +29,8 @@
   std::uint64_t epoch = 0;  ///< the highest this node knows
   std::uint64_t stamp = 0;  ///< of the `leader` key while leading: a condition of every scheduling write
   std::string leader;       ///< empty: not known
+  Instant noticed{};        ///< while leading: when the end of the last hold was seen here; 0: it was none
+  Instant last_word{};      ///< while leading: when the last leader was last heard; 0: never
 };
 
 /// Until when this node is certain to be the only leader.
@@ -35,6 +38,13 @@
   Instant until{};
 };
 
+/// How much of what a leader knows a node has that does not lead.
+enum class Readiness {
+  cold,  ///< nothing
+  part,  ///< the records or the hints
+  warm   ///< both
+};
+
 /// What a peer says of itself.
 struct PeerNews {
   std::string node;
@@ -46,6 +56,9 @@
   std::vector<std::string> withdrawn;
   topology::Edition topology;  ///< what it has read from its file
   topology::Edition in_force;  ///< while it leads
+  Readiness ready = Readiness::cold;
+  bool abstains = false;  ///< it has given the lead away and does not want it back yet
+  std::string successor;  ///< whom it wants to lead now; empty: nobody
 };
 
 /// A worker or a peer showed an epoch above ours, or a write failed on the `leader` key.
@@ -60,6 +73,138 @@
   bool had_workers = false;  ///< some reported in this term
 };
 
+/// This node gives the lead away now. Empty: to whoever comes first.
+struct Ceding {
+  std::string successor;
+};
+
+// ---- standby
+
+/// Something for one peer that rides with the next heartbeat, or has come with one.
+struct Aside {
+  std::string peer;
+  Value value;
+};
+
+/// A heartbeat has gone out: what is to ride with the next one is wanted.
+struct BeatSent {};
+
+/// What a leader knows of a machine that no record holds. A hint: it may order and estimate, never prove.
+struct MachineHint {
+  struct Image {
+    std::string bundle;
+    double gb = 0;
+  };
+  struct Fetch {
+    std::string bundle;
+    double size_gb = 0;
+    double left_gb = 0;
+  };
+  struct Failure {
+    std::string ref;  ///< of the job whose task failed there
+    Micros ago{};
+  };
+  std::string host;
+  std::string addr;
+  std::string flavor;
+  std::string site;
+  bool standby = false;
+  bool quiet = false;
+  bool room = false;  ///< something on it was free
+  std::uint64_t tenure = 0;
+  int speed_seen = 0;         ///< tasks that `slowness` is the median of
+  double slowness = 0;        ///< logarithm of (seen / expected) against other tasks of the same jobs
+  Micros told_ago{};          ///< at the receiver
+  std::vector<Image> images;  ///< those used longest ago first
+  std::vector<Fetch> fetches;
+  std::vector<Failure> failures;
+};
+
+/// What the last jobs of a queue showed of its owners' estimates.
+struct QueueHint {
+  struct Seen {
+    std::string ref;
+    double sum = 0;  ///< of logarithms of (seen / expected)
+    int tasks = 0;
+  };
+  std::string queue;
+  std::vector<Seen> jobs;
+};
+
+/// A job that failed on machines.
+struct JobHint {
+  std::string ref;
+  std::vector<std::string> hosts;
+  Micros pause{};  ///< until it is tried again
+  int backoffs = 0;
+};
+
+/// A machine that was rented and is not up yet.
+struct RentalHint {
+  std::string host;
+  std::string flavor;
+  std::string site;
+  bool standby = false;
+  Micros held{};
+  Micros awaited{};  ///< to report within
+};
+
+/// A rental that was asked for and not answered yet.
+struct BookingHint {
+  std::string name;
+  std::string flavor;
+  std::string site;
+  bool standby = false;
+  std::uint32_t count = 0;
+};
+
+/// Machines of which something changed since they were last told; the queues and jobs likewise.
+struct LedgerHints {
+  std::vector<MachineHint> machines;
+  std::vector<QueueHint> queues;
+  std::vector<JobHint> jobs;
+};
+
+/// All rentals and bookings under way.
+struct RentalHints {
+  std::vector<RentalHint> rentals;
+  std::vector<BookingHint> bookings;
+};
+
+/// What the last leader had told when this node's term began.
+struct Inheritance {
+  std::uint64_t term = 0;  ///< the term that begins
+  bool whole = false;      ///< all that it had, a heartbeat ago
+  std::map<std::string, MachineHint> machines;
+  std::vector<QueueHint> queues;
+  std::vector<JobHint> jobs;
+  RentalHints rentals;
+};
+
+/// The records as this node's copy had them, checked against the state service after the term was won. Null:
+/// they are to be read.
+struct RecordsCopied {
+  std::uint64_t term = 0;
+  std::shared_ptr<const records::Snapshot> snapshot;
+};
+
+/// The parts of a takeover, each since the term was won; negative: has not come.
+struct TakenOver {
+  std::uint64_t term = 0;
+  bool warm = false;         ///< records by copy
+  Micros silence{-1};        ///< from the last leader's last word to the term
+  Micros noticed{-1};        ///< from the end of its hold as it was seen here to the term
+  Micros read{-1};           ///< the records were there
+  Micros first_machine{-1};  ///< the first worker was heard that has taken the term's epoch
+  Micros first_start{-1};    ///< a report showed the first task that this term had claimed
+  Micros last_machine{-1};   ///< nine in ten, and the last, of those that were known before and are heard
+  Micros most_machines{-1};
+  Micros whole{-1};            ///< of every claim that the last term left it is known where it stands
+  Micros told_after{};
+  std::uint32_t machines = 0;  ///< heard
+  std::uint32_t missing = 0;   ///< known before and not heard
+};
+
 // ---- the topology
 
 /// This node's file was read and is whole; null: it names none.
--- a/src/membership/include/wrenusher/membership/leadership.hpp
+++ b/src/membership/include/wrenusher/membership/leadership.hpp
@@ -28,6 +28,7 @@
   void on_deposed(const Deposed& d);
   void on_hearing(const Hearing& h);
   void on_topology(const TopologyRead& t);
+  void on_ready(const Readiness& r) { ready_ = r; }
 
   /// Leads, and may be sure that nobody else does.
   bool certain() const { return leading_ && rt_.now() < certain_until_; }
@@ -35,6 +36,7 @@
   Sink<TermChanged> changed;
   Sink<Certainty> certainty;
   Sink<TopologyInForce> force;
+  Sink<Ceding> ceding;
 
  private:
   struct PeerState {
@@ -43,6 +45,13 @@
   };
   void tick();
   void look();
+  void watch(std::uint64_t from);
+  void take_watched(const FollowReply& f);
+  void vacant();
+  /// Candidates that go before this node.
+  int before_me() const;
+  bool warmer_peer() const;
+  void cede(const char* why, const std::function<bool(const PeerNews&)>& fit);
   void campaign(std::uint64_t stamp);
   void abandon(std::uint64_t tenancy);
   void win(std::uint64_t tenancy, std::uint64_t epoch, std::uint64_t stamp, Instant sent);
@@ -81,6 +90,11 @@
   std::string leader_;
   Instant certain_until_{};
   Instant next_look_{};
+  bool watching_ = false;   ///< the `leader` record
+  Instant vacant_since_{};  ///< nobody led when it was last seen
+  Instant noticed_{};       ///< the same, when the campaign under way began
+  Instant last_word_{};     ///< of a peer that leads
+  Readiness ready_ = Readiness::cold;
   Instant next_extend_{};
   Instant abstain_until_{};
   Instant deaf_since_{};
--- a/src/membership/include/wrenusher/membership/peer.hpp
+++ b/src/membership/include/wrenusher/membership/peer.hpp
@@ -1,5 +1,6 @@
 #pragma once
-// Heartbeats between controllers: epoch, leader, what each can reach, and cancellations just accepted.
+// Heartbeats between controllers: epoch, leader, what each can reach, cancellations just accepted, and what
+// others want to ride along.
 
 #include <deque>
 #include <memory>
@@ -21,14 +22,19 @@
   /// Another controller's request on `peer_listen`.
   void serve(const Request& request, const Answer& answer);
 
-  void on_term(const TermChanged& t) { term_ = t; }
+  void on_term(const TermChanged& t);
   void on_health(const StoreHealth& h) { store_ = h.reachable; }
   void on_hearing(const Hearing& h) { hears_ = h.hears_workers; }
   void on_withdrawn(const JobWithdrawn& w);
   void on_topology(const TopologyRead& t);
   void on_force(const TopologyInForce& t) { force_ = t.edition; }
   void on_progress(const std::shared_ptr<const Progress>& p) { untold_ = p; }
+  void on_ready(const Readiness& r) { ready_ = r; }
+  void on_ceding(const Ceding& c);
+  void on_aside(const Aside& a) { asides_[a.peer] = a.value; }
 
+  Sink<BeatSent> sent;
+  Sink<Aside> aside;
   Sink<PeerNews> news;
   Sink<JobWithdrawn> withdrawn;
   Sink<std::shared_ptr<const Progress>> progress;
@@ -37,6 +43,7 @@
   void beat();
   void send();
   Value describe() const;
+  bool abstains() const { return rt_.now() < abstains_until_; }
   void learn(const Value& v);
 
   Runtime& rt_;
@@ -48,6 +55,10 @@
   bool hears_ = false;
   std::deque<std::pair<Instant, std::string>> recent_;
   std::shared_ptr<const Progress> untold_;  ///< goes out with the next beat
+  std::map<std::string, Value> asides_;     ///< by peer: likewise
+  Readiness ready_ = Readiness::cold;
+  Instant abstains_until_{};
+  std::string successor_;
 };
 
 }  // namespace wrenusher::membership
--- a/src/membership/leadership.cpp
+++ b/src/membership/leadership.cpp
@@ -1,6 +1,7 @@
 #include "wrenusher/membership/leadership.hpp"
 
 #include <algorithm>
+#include <tuple>
 
 #include "wrenusher/log/log.hpp"
 
@@ -24,6 +25,10 @@
 /// The lead is given to one that has it no more often than this: it may not be able to keep it.
 constexpr Micros kCedeEvery = from_seconds(300);
 constexpr Micros kAdoptEvery = from_seconds(1);
+/// How long the end of a hold is waited for at a time.
+constexpr Micros kWatch = from_seconds(10);
+/// A candidate with others before it lets each have so long to win: a campaign takes three calls.
+constexpr Micros kTurn = millis(350);
 
 void tell_adopted(const topology::Edition& e) {
   log::info("topology_in_force", "topology {edition} is in force",
@@ -58,7 +63,7 @@
   if (leading_ || epoch < epoch_ || (epoch == epoch_ && leader == leader_)) return;
   epoch_ = epoch;
   leader_ = leader;
-  changed(TermChanged{false, epoch_, 0, leader_});
+  changed(TermChanged{false, epoch_, 0, leader_, {}, {}});
 }
 
 topology::Edition Leadership::mine() const {
@@ -132,6 +137,7 @@
 
 void Leadership::on_peer(const PeerNews& news) {
   peers_[news.node] = {news, rt_.now()};
+  if (news.leading && news.epoch >= epoch_) last_word_ = rt_.now();
   if (news.epoch > epoch_) {
     if (leading_) stand_down("a peer knows a higher epoch", Micros{0});
     note_epoch(news.epoch, news.leader);
@@ -184,14 +190,13 @@
     } else if (mine().version <= force_.version && mine() != force_ && peer_has(force_) &&
                (ceded_ == Instant{} || now - ceded_ > kCedeEvery)) {
       ceded_ = now;
-      store_.drop(tenancy_);
-      stand_down("a peer has the topology in force and this node has not", kAbstain);
+      cede("a peer has the topology in force and this node has not",
+           [this](const PeerNews& n) { return n.topology == force_; });
     } else if (deaf_ && !settings_.peers.empty() &&
                (peer_hears || (!any_peer && had_workers_ && now - deaf_since_ > from_seconds(2)))) {
       // Workers cannot reach this node, or it is cut off from all but the state service: as long as it holds
       // the lead nobody else can serve them.
-      store_.drop(tenancy_);
-      stand_down("no worker is heard here", kAbstain);
+      cede("no worker is heard here", [](const PeerNews& n) { return n.hears_workers; });
     }
   } else if (!busy_ && now >= next_look_) {
     look();
@@ -202,28 +207,127 @@
 void Leadership::look() {
   next_look_ = rt_.now() + kLook + rt_.jitter(millis(100));
   busy_ = true;
-  store_.get("leader", Store::Urgent::hold, [this](Read r) {
+  // As a list, since its answer tells the revision from which changes can be watched.
+  store_.list("leader", {}, 2, Store::Urgent::hold, [this](const Read& r) {
     busy_ = false;
     if (leading_ || r.result != Read::Result::ok) return;
-    if (r.rows.empty()) {
-      if (rt_.now() >= abstain_until_) campaign(0);
+    if (!watching_) watch(r.revision);
+    const auto row =
+        std::find_if(r.rows.begin(), r.rows.end(), [](const Row& x) { return x.key == "leader"; });
+    if (row == r.rows.end()) {
+      vacant();
       return;
     }
-    const Value& v = r.rows[0].value;
+    vacant_since_ = {};
+    const Value& v = row->value;
     const std::string node = v["node"].text() != nullptr ? *v["node"].text() : "";
     if (node == settings_.node) {
       // An earlier life of this node still holds the lead; it cannot act any more, so there is nothing to
       // wait for. Not after giving the lead away: then the hold's end is on its way.
-      if (rt_.now() >= abstain_until_) campaign(r.rows[0].stamp);
+      if (rt_.now() < abstain_until_) return;
+      if (row->tenancy != 0 && warmer_peer()) {
+        // One that followed is sooner where the earlier life was than this one, which has just begun.
+        log::info("lead_left", "the lead of an earlier life here is left to a peer that is warm");
+        store_.drop(row->tenancy);
+        next_look_ = rt_.now() + millis(200);
+      } else {
+        campaign(row->stamp);
+      }
       return;
     }
     note_epoch(v["epoch"].count().value_or(0), node);
   });
 }
 
+/// Waits for changes of the `leader` record, so that the end of a hold is seen as it happens. The looks go on
+/// besides: a watch says nothing while the state service is away.
+void Leadership::watch(std::uint64_t from) {
+  watching_ = true;
+  store_.follow("leader", from, kWatch, Store::Urgent::hold, [this, from](const FollowReply& f) {
+    if (leading_ || f.result != FollowReply::Result::ok) {
+      watching_ = false;
+      return;
+    }
+    take_watched(f);
+    watch(std::max(from, f.revision));
+  });
+}
+
+void Leadership::take_watched(const FollowReply& f) {
+  std::uint64_t put = 0;
+  const Row* last = nullptr;
+  for (const Row& row : f.puts) {
+    if (row.key != "leader" || row.stamp < put) continue;
+    put = row.stamp;
+    last = &row;
+  }
+  const bool ended = std::any_of(f.deletes.begin(), f.deletes.end(),
+                                 [&](const auto& d) { return d.first == "leader" && d.second > put; });
+  if (ended) {
+    vacant();
+  } else if (last != nullptr) {
+    vacant_since_ = {};
+    const std::string* node = last->value["node"].text();
+    if (node != nullptr && *node != settings_.node)
+      note_epoch(last->value["epoch"].count().value_or(0), *node);
+  }
+}
+
+/// Nobody leads. The one that is first in turn goes at once, the others when it has had time to.
+void Leadership::vacant() {
+  const Instant now = rt_.now();
+  if (vacant_since_ == Instant{}) vacant_since_ = now;
+  if (busy_ || now < abstain_until_) return;
+  const Instant turn = vacant_since_ + kTurn * before_me();
+  if (now >= turn) {
+    campaign(0);
+  } else {
+    next_look_ = std::min(next_look_, turn);
+  }
+}
+
+int Leadership::before_me() const {
+  std::string named;
+  for (const auto& [name, p] : peers_) {
+    if (fresh(p) && p.news.abstains && !p.news.successor.empty()) named = p.news.successor;
+  }
+  // The one that was named, then the warmest, then by name.
+  const auto place = [&](const std::string& name, Readiness ready) {
+    return std::tuple(name == named ? 0 : 1, -static_cast<int>(ready), name);
+  };
+  const auto mine_is = place(settings_.node, ready_);
+  return static_cast<int>(std::count_if(peers_.begin(), peers_.end(), [&](const auto& p) {
+    const PeerNews& n = p.second.news;
+    return fresh(p.second) && n.store && !n.abstains && place(p.first, n.ready) < mine_is;
+  }));
+}
+
+bool Leadership::warmer_peer() const {
+  return ready_ != Readiness::warm && std::any_of(peers_.begin(), peers_.end(), [&](const auto& p) {
+           const PeerNews& n = p.second.news;
+           return fresh(p.second) && n.store && !n.abstains && n.ready == Readiness::warm;
+         });
+}
+
+/// Gives the lead away: to the warmest of those that are fit for it, or to whoever comes.
+void Leadership::cede(const char* why, const std::function<bool(const PeerNews&)>& fit) {
+  Ceding c;
+  Readiness best = Readiness::cold;
+  for (const auto& [name, p] : peers_) {
+    if (!fresh(p) || !p.news.store || p.news.abstains || !fit(p.news)) continue;
+    if (!c.successor.empty() && p.news.ready <= best) continue;
+    c.successor = name;
+    best = p.news.ready;
+  }
+  ceding(c);
+  store_.drop(tenancy_);
+  stand_down(why, kAbstain);
+}
+
 void Leadership::campaign(std::uint64_t stamp) {
   busy_ = true;
   const Instant sent = rt_.now();
+  noticed_ = vacant_since_;
   store_.hold(settings_.tunables.hold_life, [this, stamp, sent](HoldReply h) {
     if (h.result != HoldReply::Result::ok) {
       busy_ = false;
@@ -295,7 +399,8 @@
   deferring_since_ = {};
   tell_force();
   complain();
-  changed(TermChanged{true, epoch_, stamp, leader_});
+  changed(TermChanged{true, epoch_, stamp, leader_, noticed_, last_word_});
+  vacant_since_ = {};
   prove(sent);
   next_extend_ = rt_.now() + settings_.tunables.hold_life / 4;
 }
@@ -325,7 +430,7 @@
   store_.leading(false);
   tell_force();
   certainty(Certainty{});
-  changed(TermChanged{false, epoch_, 0, {}});
+  changed(TermChanged{false, epoch_, 0, {}, {}, {}});
 }
 
 }  // namespace wrenusher::membership
--- a/src/membership/peer.cpp
+++ b/src/membership/peer.cpp
@@ -1,5 +1,7 @@
 #include "wrenusher/membership/peer.hpp"
 
+#include <algorithm>
+
 namespace wrenusher::membership {
 
 namespace {
@@ -8,6 +10,8 @@
 /// A cancellation is repeated this long, so that the leader learns of it while the state service is away.
 constexpr Micros kRepeat = from_seconds(20);
 constexpr std::size_t kMostRepeated = 200;
+/// A node that gave the lead away says for so long whom it wants to lead, and that it does not itself.
+constexpr Micros kAbstains = from_seconds(4);
 }  // namespace
 
 Peer::Peer(Runtime& rt, const Settings& settings) : rt_(rt), settings_(settings) {}
@@ -20,12 +24,16 @@
   while (!recent_.empty() && rt_.now() - recent_.front().first > kRepeat) recent_.pop_front();
   send();
   untold_.reset();
+  sent(BeatSent{});
   rt_.after(kBeat, [this] { beat(); });
 }
 
 void Peer::send() {
-  const std::string body = encode(describe());
+  const Value common = describe();
   for (const PeerAddress& p : settings_.peers) {
+    Value::Map all = *common.map();
+    if (auto a = asides_.extract(p.name)) all.emplace_back("aside", std::move(a.mapped()));
+    const std::string body = encode(Value(std::move(all)));
     rt_.fetch(p.at, {"POST", "/beat", body}, kTimeout, [this](const Outcome& o) {
       if (!o.answered || o.response.status != 200) return;
       if (const auto v = decode(o.response.body)) learn(*v);
@@ -39,6 +47,24 @@
   send();
 }
 
+void Peer::on_term(const TermChanged& t) {
+  // Who leads is told at once: until they know, the others send workers nowhere.
+  const bool begins = t.leading && !term_.leading;
+  term_ = t;
+  if (begins) {
+    successor_.clear();
+    abstains_until_ = {};
+    send();
+  }
+}
+
+void Peer::on_ceding(const Ceding& c) {
+  successor_ = c.successor;
+  abstains_until_ = rt_.now() + kAbstains;
+  // After what others have to say before they are asked no more.
+  rt_.post([this] { send(); });
+}
+
 void Peer::on_topology(const TopologyRead& t) {
   mine_ = t.topology ? t.topology->edition() : topology::Edition{};
 }
@@ -51,6 +77,11 @@
                  {"withdrawn", std::move(gone)}};
   write_edition(out, "topology", mine_);
   if (term_.leading) write_edition(out, "in_force", force_);
+  out.emplace_back("ready", static_cast<int>(ready_));
+  if (abstains()) {
+    out.emplace_back("abstains", true);
+    if (!successor_.empty()) out.emplace_back("successor", successor_);
+  }
   if (untold_) {
     Value::List rows;
     rows.reserve(untold_->rows.size());
@@ -73,6 +104,9 @@
   n.hears_workers = v["hears"].boolean().value_or(false);
   n.topology = read_edition(v["topology"]);
   n.in_force = read_edition(v["in_force"]);
+  n.ready = static_cast<Readiness>(std::min<std::uint64_t>(v["ready"].count().value_or(0), 2));
+  n.abstains = v["abstains"].boolean().value_or(false);
+  if (const std::string* s = v["successor"].text()) n.successor = *s;
   if (const Value::List* l = v["withdrawn"].list()) {
     for (const Value& r : *l) {
       if (r.text() != nullptr && valid_ref(*r.text())) withdrawn(JobWithdrawn{*r.text()});
@@ -88,6 +122,7 @@
     progress(std::move(p));
   }
   news(n);
+  if (v["aside"].map() != nullptr) aside(Aside{n.node, v["aside"]});
 }
 
 void Peer::serve(const Request& request, const Answer& answer) {
--- a/src/net/net.cpp
+++ b/src/net/net.cpp
@@ -379,6 +379,7 @@
     if (!r.body.empty()) out += "Content-Type: application/cbor\r\n";
     if (r.method != "GET" || !r.body.empty())
       out += "Content-Length: " + std::to_string(r.body.size()) + "\r\n";
+    if (r.once) out += "Connection: close\r\n";
     out += "\r\n";
     out += r.body;
     http_parser_init(&parser, HTTP_RESPONSE);
@@ -417,7 +418,7 @@
       x.on_message_complete = [](http_parser* p) {
         auto* self = static_cast<Outbound*>(p->data);
         self->response.status = static_cast<int>(p->status_code);
-        const bool keep = http_should_keep_alive(p) != 0;
+        const bool keep = http_should_keep_alive(p) != 0 && self->call && !self->call->request.once;
         self->settle(true);
         self->idle_since = self->rt->now();
         if (!keep) {
--- a/src/provisioner/include/wrenusher/provisioner/provisioner.hpp
+++ b/src/provisioner/include/wrenusher/provisioner/provisioner.hpp
@@ -28,6 +28,7 @@
   void on_term(const TermChanged& t);
   void on_certainty(const Certainty& c) { certain_until_ = c.until; }
   void on_workload(const std::shared_ptr<const Workload>& w);
+  void on_inherited(const std::shared_ptr<const Inheritance>& all);
   void on_quiet(const HostQuiet& q);
   void on_suspect(const HostCondemned& c);
 
@@ -35,6 +36,7 @@
   Sink<HostCondemned> condemned;
   Sink<HostGone> gone;
   Sink<CapacitySeen> capacity;
+  Sink<std::shared_ptr<const RentalHints>> hints;
 
  private:
   struct Machine {
@@ -97,6 +99,8 @@
   void plan_rentals();
   bool refused(const Kind& kind) const;
   void tell_capacity();
+  void tell_hints();
+  void see_heirs();
   void account();
   Micros found_within() const;
   void give_back_silent(const std::string& host, const char* why);
@@ -131,7 +135,9 @@
   std::map<std::string, Instant> lost_until_;            ///< zones of which no machine is heard
   std::map<std::string, LayoutTry> layouts_;             ///< by job
   std::set<std::string> to_return_;
-  std::set<std::string> gone_;  ///< given back in this term
+  std::set<std::string> gone_;   ///< given back in this term
+  std::set<std::string> heirs_;  ///< machines that the last leader had, not heard in this term yet
+  std::size_t heirs_most_ = 0;
   accounts::Money money_;
   std::shared_ptr<const Workload> load_;
 };
--- a/src/provisioner/provisioner.cpp
+++ b/src/provisioner/provisioner.cpp
@@ -39,6 +39,9 @@
 constexpr Micros kSilenceMemory = from_seconds(20);
 constexpr Micros kLostZone = from_seconds(40);
 
+/// With so few of the last leader's machines not heard yet, what is short can be told.
+constexpr double kFewHeirs = 0.1;
+
 bool no_capacity(const Outcome& o) {
   return o.answered && o.response.status == 503 && o.response.body.find("no capacity") != std::string::npos;
 }
@@ -64,6 +67,8 @@
   lost_until_.clear();
   to_return_.clear();
   gone_.clear();
+  heirs_.clear();
+  heirs_most_ = 0;
   load_.reset();
   term_began_ = rt_.now();
   money_.begin(rt_.now());
@@ -83,6 +88,7 @@
     if (now >= next_catalog_) ask_catalog();
     if (!catalog_) read_catalog_record();
     if (certain()) review();
+    tell_hints();
   } else if (now >= next_catalog_) {
     read_catalog_record();
   }
@@ -340,6 +346,7 @@
           returning_ = false;
           if (!o.answered || o.response.status != 200) return;  // asked again by the next review
           for (const std::string& h : names) {
+            heirs_.erase(h);
             to_return_.erase(h);
             machines_.erase(h);
             gone_.insert(h);
@@ -348,6 +355,63 @@
         });
 }
 
+/// What the last leader had rented and asked for. The list of machines would tell of it only after its lag,
+/// and until then it would be rented twice.
+void Provisioner::on_inherited(const std::shared_ptr<const Inheritance>& all) {
+  if (!term_.leading || term_.epoch != all->term) return;
+  for (const RentalHint& r : all->rentals.rentals) {
+    if (r.awaited.count() < 0) continue;  // it should have come long ago: the list tells what became of it
+    Machine& m = know(r.host);
+    m.flavor = r.flavor;
+    m.site = r.site;
+    m.standby = r.standby;
+    m.rented = rt_.now() - r.held;
+    m.expected = rt_.now() + r.awaited;
+  }
+  for (const BookingHint& b : all->rentals.bookings) {
+    // The same name again rents nothing more, and says which machines came of it.
+    Booking mine{b.name, {b.flavor, b.site, b.standby}, std::min(b.count, kMostPerBooking), 0};
+    if (open_bookings_.emplace(b.name, mine).second) send_rental(mine);
+  }
+  if (!all->whole) return;
+  for (const auto& [host, m] : all->machines) {
+    if (!m.quiet) heirs_.insert(host);
+  }
+  heirs_most_ = heirs_.size();
+}
+
+/// Once those that run have nearly all reported there is no more to wait for before renting: what was on its
+/// way is known.
+void Provisioner::see_heirs() {
+  if (heirs_most_ == 0) return;
+  const Instant now = rt_.now();
+  const double missing = static_cast<double>(heirs_.size()) / static_cast<double>(heirs_most_);
+  if (missing <= kFewHeirs) {
+    rent_not_before_ = std::min(rent_not_before_, now);
+    ordinary_not_before_ = std::min(ordinary_not_before_, now);
+  }
+  if (now - term_began_ <= found_within()) return;
+  // Where most are missing the fault is more likely here.
+  if (missing < 0.5) {
+    for (const std::string& host : heirs_) give_back_silent(host, "it is not heard in this term");
+  }
+  heirs_most_ = 0;
+  heirs_.clear();
+}
+
+void Provisioner::tell_hints() {
+  if (!settings_.tunables.standby || settings_.peers.empty()) return;
+  auto out = std::make_shared<RentalHints>();
+  const Instant now = rt_.now();
+  for (const auto& [host, m] : machines_) {
+    if (!m.up && !m.returning && !m.running)
+      out->rentals.push_back({host, m.flavor, m.site, m.standby, now - m.rented, m.expected - now});
+  }
+  for (const auto& [name, b] : open_bookings_)
+    out->bookings.push_back({name, b.kind.flavor, b.kind.site, b.kind.standby, b.count});
+  hints(std::shared_ptr<const RentalHints>(std::move(out)));
+}
+
 void Provisioner::on_quiet(const HostQuiet& q) {
   if (term_.leading) give_back_silent(q.host, "it is silent");
 }
@@ -371,6 +435,7 @@
     }
     if (h.claims > 0 || (h.usable && !m.up)) m.idle_since = now;  // booting is not idling
     if (h.usable) m.up = true;
+    if (h.usable) heirs_.erase(h.host);
     // It was up under an earlier leader, and a worker that still is finds this one within a report and a lost
     // answer.
     if (!m.up && h.claims > 0 && now - term_began_ > found_within())
@@ -382,6 +447,7 @@
     if (m.draining && h.claims == 0) give_back(h.host, "it is idle");
   }
   see_zones(*w);
+  see_heirs();
   if (certain()) plan_rentals();
 }
 
--- a/src/records/records.cpp
+++ b/src/records/records.cpp
@@ -79,6 +79,44 @@
   return BlockId{*(*f)[0].text(), static_cast<std::uint32_t>(*n), *version};
 }
 
+bool BlockAt::within(std::uint32_t units) const {
+  const auto below = [units](const RangeSet& r) {
+    return r.empty() || std::prev(r.ranges().end())->second < units;
+  };
+  return below(state.done) && std::all_of(state.claims.begin(), state.claims.end(),
+                                          [&](const ClaimRow& c) { return below(c.tasks); });
+}
+
+Value write_slot(std::uint32_t slot, Value::List rows) {
+  Value::List all;
+  all.reserve(rows.size() + 1);
+  all.emplace_back(std::uint64_t{slot});
+  std::move(rows.begin(), rows.end(), std::back_inserter(all));
+  return all;
+}
+
+std::optional<std::vector<BlockAt>> read_slot(const Value& v, std::uint32_t slot, std::size_t& unreadable) {
+  const Value::List* rows = v.list();
+  if (rows == nullptr) return std::nullopt;
+  auto row = rows->begin();
+  if (row != rows->end() && row->list() == nullptr) {
+    if (row->count() != std::uint64_t{slot}) return std::nullopt;
+    ++row;
+  }
+  std::vector<BlockAt> out;
+  out.reserve(rows->size());
+  for (; row != rows->end(); ++row) {
+    auto id = read_block_id(*row);
+    auto state = id ? read_block(*row, kMaxUnits) : std::nullopt;
+    if (state) {
+      out.push_back({std::move(*id), std::move(*state)});
+    } else {
+      ++unreadable;
+    }
+  }
+  return out;
+}
+
 std::optional<BlockRecord> read_block(const Value& row, std::uint32_t units) {
   const Value::List* fields = row.list();
   if (fields == nullptr || fields->size() != 6) return std::nullopt;
--- a/src/reports/include/wrenusher/reports/reports.hpp
+++ b/src/reports/include/wrenusher/reports/reports.hpp
@@ -42,6 +42,8 @@
   std::vector<Order> orders(const Machine& m, const WorkerReport& r) const;
   /// Whether a commit under way or due would add orders to the answer.
   bool awaits_commit(const Machine& m, const WorkerReport& r) const;
+  /// Tasks claimed in this term that a report has shown on their machines, so far.
+  std::uint64_t shown() const { return shown_; }
 
  private:
   void take_there(Machine& m, const WorkerReport& r, std::uint64_t mark);
@@ -58,6 +60,7 @@
   estimates::Estimator& estimator_;
   accounts::Waits& waits_;
   std::uint64_t reports_ = 0;
+  std::uint64_t shown_ = 0;
 };
 
 }  // namespace wrenusher::reports
--- a/src/reports/reports.cpp
+++ b/src/reports/reports.cpp
@@ -96,8 +96,8 @@
       if (settled && m.current && (c.halt || !m.usable())) book_.release(*job, task, "not started");
     } else if (c.phase == Phase::loaded) {
       // Claimed under an earlier term: only a worker that has taken this term's epoch cannot be told to start
-      // it any more.
-      if (settled && m.current) book_.release(*job, task, "never started, or lost before this term");
+      // it any more. This leader never orders it either, so its answer to /orders settles it as well.
+      if (m.current) book_.release(*job, task, "never started, or lost before this term");
     } else {
       book_.release(*job, task, "gone from its machine");
     }
@@ -111,6 +111,7 @@
                       : u.status == UnitStatus::saving    ? Phase::saving
                                                           : Phase::running;
   const Instant now = rt_.now();
+  if (c.phase == Phase::fresh) ++shown_;
   if (phase == Phase::pulling && c.pulling_since == Instant{}) c.pulling_since = now;
   if (phase == Phase::gathering && c.gathering_since == Instant{}) c.gathering_since = now;
   if (phase == Phase::pulling && !c.pulls) {
--- a/src/settings/include/wrenusher/settings/settings.hpp
+++ b/src/settings/include/wrenusher/settings/settings.hpp
@@ -41,6 +41,7 @@
   Micros idle_return = from_seconds(30);
   double silent_reports = 2.5;
   double slow_boot_factor = 2.5;
+  bool standby = true;   ///< nodes that do not lead hold ready what the leader knows
   std::string topology;  ///< path of the operators' map of failure domains; empty: none
 };
 
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -184,8 +184,8 @@
     }
     return x;
   };
-  static const std::set<std::string> known = {"hold_s",         "round_s",          "idle_return_s",
-                                              "silent_reports", "slow_boot_factor", "topology"};
+  static const std::set<std::string> known = {
+      "hold_s", "round_s", "idle_return_s", "silent_reports", "slow_boot_factor", "topology", "standby"};
   for (const auto& entry : root) {
     const auto name = entry.first.as<std::string>("");
     if (!known.contains(name)) throw SettingsError("tunables: " + name + ": is not known");
@@ -195,6 +195,10 @@
   t.idle_return = from_seconds(number("idle_return_s", 0, 3600, to_seconds(t.idle_return)));
   t.silent_reports = number("silent_reports", 2, 1000, t.silent_reports);
   t.slow_boot_factor = number("slow_boot_factor", 1, 100, t.slow_boot_factor);
+  if (const YAML::Node n = root["standby"]; n && !n.IsNull()) {
+    if (!YAML::convert<bool>::decode(n, t.standby))
+      throw SettingsError("tunables: standby: must be on or off");
+  }
   if (const YAML::Node n = root["topology"]; n && !n.IsNull()) {
     if (!n.IsScalar() || n.Scalar().empty()) throw SettingsError("tunables: topology: must be a path");
     t.topology = n.Scalar();
--- /dev/null
+++ b/src/standby/include/wrenusher/standby/check.hpp
@@ -0,0 +1,63 @@
+#pragma once
+// The check of a copy against the state service, after this node has won a term and before its first
+// decision.
+//
+// Compared, many in one request (4 x txn_ops conditions): every live job's root and every slot by its stamp;
+// the slots that a leader would have made next, by their absence; and every job that a slot names and the
+// copy does not know, by the absence of its root, since a claim of a live job that is not counted could be
+// given away twice. What does not compare is read anew, and what is read anew is compared again.
+// docs/design.md has the proof.
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "wrenusher/standby/copy.hpp"
+
+namespace wrenusher::standby {
+
+/// The keys that the check compares, each with the stamp that it should have.
+std::vector<Condition> conditions_of(const records::Snapshot& s);
+
+class Check {
+ public:
+  Check(Runtime& rt, const Settings& settings, Store& store) : rt_(rt), settings_(settings), store_(store) {}
+
+  struct Result {
+    bool good = false;
+    std::size_t compared = 0;
+    std::size_t anew = 0;  ///< keys that did not compare and were read
+  };
+  /// Brings the copy to what the state service has; not good where too much differs or no answers come in
+  /// time.
+  void begin(std::shared_ptr<records::Snapshot> copy, std::function<void(const Result&)> done);
+  void stop() { ++generation_; }
+
+ private:
+  struct Run {
+    std::uint64_t generation = 0;
+    std::shared_ptr<records::Snapshot> copy;
+    std::function<void(const Result&)> done;
+    std::map<std::string, std::uint64_t> open;  ///< keys still to be compared, and their stamps
+    std::set<std::string> asked;                ///< keys that have been compared, whatever came of it
+    std::set<std::string> wrong;                ///< that did not compare this time
+    std::size_t under_way = 0;
+    int passes = 0;
+    bool lost = false;
+    Result result;
+  };
+  void pass(const std::shared_ptr<Run>& r);
+  void compared(const std::shared_ptr<Run>& r, const std::vector<Condition>& when, const Commit& c);
+  void read_wrong(const std::shared_ptr<Run>& r);
+  void end(const std::shared_ptr<Run>& r, bool good);
+
+  Runtime& rt_;
+  const Settings& settings_;
+  Store& store_;
+  std::uint64_t generation_ = 0;
+};
+
+}  // namespace wrenusher::standby
--- /dev/null
+++ b/src/standby/include/wrenusher/standby/hints.hpp
@@ -0,0 +1,58 @@
+#pragma once
+// Hints as they travel: one row a machine, queue, job, rental or booking, and the picture that they make at
+// the receiver.
+
+#include <map>
+#include <optional>
+#include <string>
+
+#include "wrenusher/mail/mail.hpp"
+
+namespace wrenusher::standby {
+
+using namespace base;
+using namespace protocol;
+using namespace mail;
+
+/// What a row is about. Those that serve urgent work first come first: they are told in this order.
+enum class Kind : char { queue = 'a', booking = 'b', rental = 'c', job = 'd', machine = 'm' };
+
+/// The name of a row: its kind and what it is about.
+std::string key_of(Kind kind, const std::string& name);
+
+struct Row {
+  std::string key;
+  Value value;               ///< null: there is no such thing any more
+  std::uint64_t digest = 0;  ///< of what is worth telling again when it changes
+};
+Row to_row(const MachineHint& m);
+Row to_row(const QueueHint& q);
+Row to_row(const JobHint& j);
+Row to_row(const RentalHint& r);
+Row to_row(const BookingHint& b);
+
+/// What is known by rows. Rows come from a peer, so nothing in them is believed to be well formed: what
+/// cannot be read is left out.
+class Picture {
+ public:
+  struct Known {
+    Row row;
+    Instant at{};            ///< when it was told here
+    std::uint64_t term = 0;  ///< by the leader of that term
+    std::uint64_t beat = 0;  ///< and with that message of it
+  };
+  /// False when the row is not newer than what is known.
+  bool put(Row row, Instant now, std::uint64_t term, std::uint64_t beat);
+  const std::map<std::string, Known>& all() const { return rows_; }
+  /// Drops what was told before this message.
+  void forget_before(std::uint64_t term, std::uint64_t beat);
+  /// Drops rows told until then that say that something is gone.
+  void forget_gone(Instant until);
+  /// As the actors take it over, with the ages that things have by now.
+  Inheritance inheritance(Instant now) const;
+
+ private:
+  std::map<std::string, Known> rows_;
+};
+
+}  // namespace wrenusher::standby
--- a/src/store/include/wrenusher/store/store.hpp
+++ b/src/store/include/wrenusher/store/store.hpp
@@ -19,6 +19,7 @@
   std::string key;
   Value value;
   std::uint64_t stamp = 0;
+  std::uint64_t tenancy = 0;  ///< 0: attached to no hold
 };
 
 struct Read {
@@ -63,7 +64,8 @@
   enum class Result { ok, too_old, failed };
   Result result = Result::failed;
   std::uint64_t revision = 0;
-  std::vector<Row> puts;  ///< deletes are left out: nobody asks for them
+  std::vector<Row> puts;
+  std::vector<std::pair<std::string, std::uint64_t>> deletes;  ///< key, stamp
 };
 
 /// Whether the state service answered this node of late.
@@ -94,8 +96,9 @@
 
 class Store {
  public:
-  /// Keep the hold; schedule; users. Users' calls are refused at once when too many wait.
-  enum class Urgent { hold, schedule, user };
+  /// Keep the hold; schedule; users; what is only taken from a pace that nobody else wants at present. Users'
+  /// calls are refused at once when too many wait.
+  enum class Urgent { hold, schedule, user, spare };
 
   Store(Runtime& rt, const Settings& settings);
 
@@ -107,7 +110,7 @@
   void hold(Micros life, std::function<void(HoldReply)> done);
   void extend(std::uint64_t tenancy, std::function<void(HoldReply)> done);
   void drop(std::uint64_t tenancy);
-  void follow(const std::string& prefix, std::uint64_t from, Micros wait,
+  void follow(const std::string& prefix, std::uint64_t from, Micros wait, Urgent urgent,
               std::function<void(FollowReply)> done);
 
   /// The leader does most of the work and so gets most of the pace.
@@ -125,6 +128,7 @@
   };
   void submit(Urgent urgent, double writes, std::function<void()> send, std::function<void()> refuse);
   void pump();
+  std::deque<Queued>* next_queue();
   void call(Request request, Micros timeout, Done done);
   void seen(bool good);
 
@@ -134,6 +138,7 @@
   Pace writes_;
   std::deque<Queued> user_queue_;
   std::deque<Queued> queue_;
+  std::deque<Queued> spare_queue_;
   bool users_turn_ = true;
   bool pumping_ = false;
   Instant last_good_{};
--- a/src/store/store.cpp
+++ b/src/store/store.cpp
@@ -14,12 +14,15 @@
 /// Users' calls beyond this many waiting ones are refused at once.
 constexpr std::size_t kMostWaiting = 64;
 constexpr double kLeaderShare = 0.7;
+/// Part of the tokens kept back from calls that only take what is spare.
+constexpr double kSpare = 0.5;
 
 Row read_row(const Value& v, const char* key_field) {
   Row r;
   if (const std::string* k = v[key_field].text()) r.key = *k;
   r.value = v["value"];
   r.stamp = v["stamp"].count().value_or(0);
+  r.tenancy = v["tenancy"].count().value_or(0);
   return r;
 }
 
@@ -96,7 +99,7 @@
     send();
     return;
   }
-  auto& queue = urgent == Urgent::user ? user_queue_ : queue_;
+  auto& queue = urgent == Urgent::user ? user_queue_ : urgent == Urgent::spare ? spare_queue_ : queue_;
   if (urgent == Urgent::user && queue.size() >= kMostWaiting) {
     rt_.post(std::move(refuse));
     return;
@@ -114,14 +117,23 @@
   return static_cast<std::size_t>(user_queue_.empty() ? ready : std::max(ready, writes_.rate() / 4));
 }
 
+/// Null when nothing waits.
+std::deque<Store::Queued>* Store::next_queue() {
+  // In turn, so that neither a storm of polls nor a long commit keeps the others out.
+  if (!user_queue_.empty() && (queue_.empty() || users_turn_)) return &user_queue_;
+  if (!queue_.empty()) return &queue_;
+  return spare_queue_.empty() ? nullptr : &spare_queue_;
+}
+
 void Store::pump() {
   if (pumping_) return;
-  while (!user_queue_.empty() || !queue_.empty()) {
-    // In turn, so that neither a storm of polls nor a long commit keeps the others out.
-    auto& queue = queue_.empty() || (users_turn_ && !user_queue_.empty()) ? user_queue_ : queue_;
+  while (auto* next = next_queue()) {
+    auto& queue = *next;
     const Instant now = rt_.now();
     const Queued& q = queue.front();
-    const bool wait = now < backoff_until_ || !requests_.take(1, now);
+    // What is spare is what half a second's worth is left of, whoever comes next.
+    const bool busy = &queue == &spare_queue_ && requests_.tokens(now) < requests_.rate() * kSpare;
+    const bool wait = now < backoff_until_ || busy || !requests_.take(1, now);
     if (!wait && q.writes > 0 && !writes_.take(q.writes, now)) {
       requests_.force(-1, now);
     } else if (!wait) {
@@ -282,11 +294,11 @@
          {});
 }
 
-void Store::follow(const std::string& prefix, std::uint64_t from, Micros wait,
+void Store::follow(const std::string& prefix, std::uint64_t from, Micros wait, Urgent urgent,
                    std::function<void(FollowReply)> done) {
   const std::string target = "/follow?starts=" + prefix + "&from=" + std::to_string(from) +
                              "&hold_ms=" + std::to_string(wait.count() / 1000);
-  submit(Urgent::hold, 0,
+  submit(urgent, 0,
          [this, target, wait, done] {
            call({"GET", target, {}}, wait + kTimeout, [done](Outcome o) {
              FollowReply f;
@@ -296,7 +308,11 @@
                  f.result = FollowReply::Result::ok;
                  f.revision = revision_of(*v);
                  for (const Value& e : *(*v)["events"].list()) {
-                   if (e["put"].text() != nullptr) f.puts.push_back(read_row(e, "put"));
+                   if (e["put"].text() != nullptr) {
+                     f.puts.push_back(read_row(e, "put"));
+                   } else if (const std::string* gone = e["delete"].text()) {
+                     f.deletes.emplace_back(*gone, e["stamp"].count().value_or(0));
+                   }
                  }
                }
              }
--- a/src/writer/include/wrenusher/writer/writer.hpp
+++ b/src/writer/include/wrenusher/writer/writer.hpp
@@ -95,6 +95,7 @@
   Instant commit_not_before_{};
   Instant progress_since_{};  ///< when the last commit left no progress behind
   std::vector<Slot> slots_;
+  std::uint32_t doubts_ = 0;                                              ///< slots in doubt
   std::unordered_map<std::uint64_t, std::vector<std::uint32_t>> places_;  ///< job id -> slot of each block
 };
 
--- a/src/writer/writer.cpp
+++ b/src/writer/writer.cpp
@@ -1,6 +1,7 @@
 #include "wrenusher/writer/writer.hpp"
 
 #include <algorithm>
+#include <utility>
 
 #include "wrenusher/log/log.hpp"
 
@@ -15,6 +16,9 @@
 constexpr std::size_t kMostSlots = 4;
 /// Part of a transaction that final states may take.
 constexpr std::size_t kFinalsPart = 3;
+/// Nothing new is written while so many slots stand in doubt: what a leader may have made beyond the slots
+/// that others know of stays bounded, so that a standby can ask for it by name.
+constexpr std::uint32_t kMostDoubt = 8;
 constexpr Micros kRetryCommit = millis(250);
 constexpr Micros kRetryRead = millis(250);
 /// Progress without new claims waits this long for a commit that it can ride along with.
@@ -27,6 +31,7 @@
   leader_stamp_ = stamp;
   committing_ = false;
   slots_.clear();
+  doubts_ = 0;
   places_.clear();
   progress_since_ = rt_.now();
 }
@@ -113,7 +118,7 @@
       // be taken from: it would wrap round and let the value grow without bound.
       const std::size_t taken = bytes + (p.when.size() + 2) * kConditionBytes;
       const std::size_t fresh = std::min(value_limit, kTxnBytes - std::min(kTxnBytes, taken));
-      if (values.size() == most || size > fresh || !(claims || progress_due)) {
+      if (values.size() == most || size + records::kSlotBytes > fresh || !(claims || progress_due)) {
         left_progress = true;
         break;
       }
@@ -121,7 +126,8 @@
       p.slots.push_back(slot);
       p.when.push_back({records::slot_key(slot), slots_[slot].stamp});
       values.emplace_back();
-      room = fresh;
+      room = fresh - std::min(fresh, records::kSlotBytes);
+      bytes += records::kSlotBytes;
     }
     room -= size;
     bytes += size;
@@ -133,7 +139,8 @@
   }
   if (!left_progress) progress_since_ = rt_.now();
   for (std::size_t i = 0; i < values.size(); ++i)
-    p.apply.push_back({records::slot_key(p.slots[i]), Value(std::move(values[i])), 0});
+    p.apply.push_back(
+        {records::slot_key(p.slots[i]), records::write_slot(p.slots[i], std::move(values[i])), 0});
 }
 
 /// Every write depends on the leader's stamp, so whatever a former leader still has on its way fails by
@@ -141,6 +148,7 @@
 void Writer::flush() {
   if (committing_ || rt_.now() < commit_not_before_ || (book_.unwritten().empty() && book_.over().empty()))
     return;
+  if (doubts_ >= kMostDoubt) return;
   const std::size_t ready = store_.writes_ready();
   if (ready < 2) return;
   Pending p;
@@ -215,7 +223,7 @@
 /// Reads a slot's stamp anew. What stands in it matters no more: a copy of a block that was applied late is
 /// older than the one that is written next, and says so itself.
 void Writer::refresh_slot(std::uint32_t slot) {
-  slots_[slot].doubt = true;
+  if (!std::exchange(slots_[slot].doubt, true)) ++doubts_;
   store_.get(records::slot_key(slot), Store::Urgent::schedule,
              [this, slot, generation = generation_](const Read& r) {
                if (generation != generation_) return;
@@ -227,6 +235,7 @@
                }
                slots_[slot].stamp = r.rows.empty() ? 0 : r.rows[0].stamp;
                slots_[slot].doubt = false;
+               --doubts_;
                on_ready();
              });
 }
