Takeovers tested with several machines; a copy thrown away is no longer called whole

Cause: found by the new tests. A copy of the records that was thrown away still counted as whole until it was read again (the check would have caught it); hints that a receiver had before it was told everything anew stayed when that message was lost; a node that had just begun took up its earlier life's lead before its peers had said how warm they are; the lab's checker called an answer older that had been on its way while another told of the end.

Change: the parts of a copy end with it; every message of hints says since which one the rest is void; a new life waits for its peers' first word (0.2 s at most) and then leaves the lead to a warm one; users' questions carry when they were asked.

--- a/lab/live/include/wrenusher/lab/live_lab.hpp
+++ b/lab/live/include/wrenusher/lab/live_lab.hpp
@@ -93,7 +93,7 @@
   void child_ended(Child& c);
   void serve_user(const Request& r, const Answer& answer);
   void serve_control(const Request& r, const Answer& answer);
-  void watch_user(const Request& r, const base::Outcome& o);
+  void watch_user(const Request& r, const base::Outcome& o, Instant asked);
   int controller(const std::string& name) const;
 
   net::UvRuntime& rt_;
--- a/lab/models/include/wrenusher/lab/checker.hpp
+++ b/lab/models/include/wrenusher/lab/checker.hpp
@@ -26,7 +26,10 @@
   void answered_submit(Instant now, const std::string& ref, int status);
   void asked_withdraw(const std::string& ref) { asked_.insert(ref); }
   void answered_withdraw(Instant now, const std::string& ref, int status, const std::string& state);
-  void answered_poll(Instant now, const std::string& ref, int status, const std::string& state);
+  /// `asked`: when the question went out. An answer that was on its way while another one told of the end is
+  /// not older than what its node had told.
+  void answered_poll(Instant now, const std::string& ref, int status, const std::string& state,
+                     Instant asked);
 
   /// A task is on its machine from the moment it has its image until it exits or the machine is gone.
   void started(Instant now, const std::string& ref, std::uint32_t task, const std::string& host,
@@ -70,6 +73,7 @@
   std::set<std::string> accepted_;
   std::set<std::string> asked_;
   std::map<std::string, std::string> final_;
+  std::map<std::string, Instant> final_at_;
   std::map<std::string, Instant> cancelled_at_;
   std::map<std::string, std::set<std::uint32_t>> completed_;
   std::map<std::pair<std::string, std::uint32_t>, std::vector<On>> on_;
--- a/lab/models/include/wrenusher/lab/machines.hpp
+++ b/lab/models/include/wrenusher/lab/machines.hpp
@@ -89,6 +89,7 @@
   void keep_image(Machine& m, const std::string& bundle, double gb);
   void exit_task(Machine& m, Task& t, const std::string& cause);
   void lose_tasks(Machine& m);
+  void take_token(Machine& m, std::uint64_t epoch);
   void execute(Machine& m, const Value& orders);
   void run_order(Machine& m, const std::string& ref, std::uint32_t task, std::uint64_t attempt);
   void halt_order(Task& t, Machine& m, Micros leeway);
--- a/lab/models/include/wrenusher/lab/wires.hpp
+++ b/lab/models/include/wrenusher/lab/wires.hpp
@@ -31,6 +31,8 @@
  public:
   /// Both ways, until healed.
   void cut(const std::string& a, const std::string& b, Cut how);
+  /// What goes from one to the other, and not back.
+  void cut_one_way(const std::string& from, const std::string& to, Cut how) { one_way_[{from, to}] = how; }
   /// A zone with all that is and comes up in it, from everything outside.
   void cut_zone(const std::string& zone, Cut how);
   /// Likewise all parties of which `inside` is true.
@@ -38,10 +40,11 @@
   void heal();
   /// Tells the zone of a party; empty for what belongs to none.
   std::function<std::string(const std::string&)> zone_of;
-  Cut between(const std::string& a, const std::string& b) const;
+  Cut between(const std::string& from, const std::string& to) const;
 
  private:
   std::map<std::pair<std::string, std::string>, Cut> pairs_;
+  std::map<std::pair<std::string, std::string>, Cut> one_way_;
   std::vector<std::pair<std::function<bool(const std::string&)>, Cut>> groups_;
 };
 
--- a/lab/sim/include/wrenusher/lab/world.hpp
+++ b/lab/sim/include/wrenusher/lab/world.hpp
@@ -89,6 +89,9 @@
   /// The controller stands still: its timers and all that comes to it wait.
   void stall(int controller, Micros how_long);
   void cut(const std::string& a, const std::string& b, Cut how) { wires_.links.cut(a, b, how); }
+  void cut_one_way(const std::string& from, const std::string& to, Cut how) {
+    wires_.links.cut_one_way(from, to, how);
+  }
   void isolate(const std::string& who, Cut how, const std::set<std::string>& but = {});
   void cut_zone(const std::string& zone, Cut how) { wires_.links.cut_zone(zone, how); }
   void heal() { wires_.heal(); }
--- a/src/membership/include/wrenusher/membership/leadership.hpp
+++ b/src/membership/include/wrenusher/membership/leadership.hpp
@@ -45,6 +45,7 @@
   };
   void tick();
   void look();
+  void leave(std::uint64_t stamp);
   void watch(std::uint64_t from);
   void take_watched(const FollowReply& f);
   void vacant();
@@ -90,6 +91,7 @@
   std::string leader_;
   Instant certain_until_{};
   Instant next_look_{};
+  Instant started_{};
   bool watching_ = false;   ///< the `leader` record
   Instant vacant_since_{};  ///< nobody led when it was last seen
   Instant noticed_{};       ///< the same, when the campaign under way began
--- a/src/membership/leadership.cpp
+++ b/src/membership/leadership.cpp
@@ -29,6 +29,9 @@
 constexpr Micros kWatch = from_seconds(10);
 /// A candidate with others before it lets each have so long to win: a campaign takes three calls.
 constexpr Micros kTurn = millis(350);
+/// A node that has just begun waits so long for its peers' first word before it takes up its earlier life's
+/// lead.
+constexpr Micros kFirstWord = millis(200);
 
 void tell_adopted(const topology::Edition& e) {
   log::info("topology_in_force", "topology {edition} is in force",
@@ -51,6 +54,7 @@
     : rt_(rt), settings_(settings), store_(store) {}
 
 void Leadership::start() {
+  started_ = rt_.now();
   tick();
 }
 
@@ -225,11 +229,11 @@
       // An earlier life of this node still holds the lead; it cannot act any more, so there is nothing to
       // wait for. Not after giving the lead away: then the hold's end is on its way.
       if (rt_.now() < abstain_until_) return;
-      if (row->tenancy != 0 && warmer_peer()) {
-        // One that followed is sooner where the earlier life was than this one, which has just begun.
-        log::info("lead_left", "the lead of an earlier life here is left to a peer that is warm");
-        store_.drop(row->tenancy);
-        next_look_ = rt_.now() + millis(200);
+      if (peers_.empty() && !settings_.peers.empty() && rt_.now() - started_ < kFirstWord) {
+        // The peers have not had the time to say how warm they are.
+        next_look_ = rt_.now() + kFirstWord / 2;
+      } else if (warmer_peer()) {
+        leave(row->stamp);
       } else {
         campaign(row->stamp);
       }
@@ -239,6 +243,19 @@
   });
 }
 
+/// Ends the hold of this node's earlier life: a peer that followed is sooner where that life was than this
+/// one, which has just begun.
+void Leadership::leave(std::uint64_t stamp) {
+  busy_ = true;
+  store_.get("leader", Store::Urgent::hold, [this, stamp](const Read& r) {
+    busy_ = false;
+    next_look_ = rt_.now() + millis(200);
+    if (leading_ || r.rows.empty() || r.rows[0].stamp != stamp || r.rows[0].tenancy == 0) return;
+    log::info("lead_left", "the lead of an earlier life here is left to a peer that is warm");
+    store_.drop(r.rows[0].tenancy);
+  });
+}
+
 /// Waits for changes of the `leader` record, so that the end of a hold is seen as it happens. The looks go on
 /// besides: a watch says nothing while the state service is away.
 void Leadership::watch(std::uint64_t from) {
--- a/src/standby/copy.cpp
+++ b/src/standby/copy.cpp
@@ -53,7 +53,6 @@
 void Copy::begin() {
   stop();
   running_ = true;
-  for (Part& p : parts_) p = {p.prefix, 0, {}, {}, false, {}};
   fill(parts_[0]);
 }
 
@@ -61,6 +60,8 @@
   ++generation_;
   running_ = false;
   data_ = {};
+  // With the data goes the word that it is all there.
+  for (Part& p : parts_) p = {p.prefix, 0, {}, {}, false, {}};
 }
 
 bool Copy::whole() const {
--- a/src/standby/include/wrenusher/standby/standby.hpp
+++ b/src/standby/include/wrenusher/standby/standby.hpp
@@ -41,6 +41,7 @@
   /// What a peer said of itself.
   struct PeerState {
     std::uint64_t life = 0;
+    std::uint64_t since = 0;  ///< what it told before this message of its is void
     std::uint64_t told_by = 0;              ///< the leader's life that told it all there was
     std::vector<std::uint64_t> to_confirm;  ///< messages that came from it
   };
--- a/src/standby/include/wrenusher/standby/teller.hpp
+++ b/src/standby/include/wrenusher/standby/teller.hpp
@@ -43,7 +43,8 @@
   struct Listener {
     std::uint64_t life = 0;
     Instant heard{};
-    bool anew = false;  ///< whatever else it believes is void
+    std::uint64_t since = 0;  ///< what it was told before this message is void; 0: nothing is
+    bool silent = false;      ///< nothing was sent to it since then
     std::set<std::string> pending;
     std::map<std::uint64_t, Sent> flying;  ///< sent and not confirmed
   };
--- a/src/standby/standby.cpp
+++ b/src/standby/standby.cpp
@@ -181,7 +181,11 @@
   const Value::List* rows = v["rows"].list();
   if (term < term_.epoch || beat == 0 || rows == nullptr) return;
   const Instant now = rt_.now();
-  if (v["anew"].boolean().value_or(false)) picture_.forget_before(term, beat);
+  // A teller that began from nothing with us owes everything: what we had from before is void.
+  if (const std::uint64_t since = v["since"].count().value_or(0); since > from.since) {
+    from.since = since;
+    picture_.forget_before(term, since);
+  }
   for (const Value& row : *rows) {
     const Value::List* f = row.list();
     if (f == nullptr || f->size() != 3 || (*f)[0].text() == nullptr) continue;
--- a/src/standby/teller.cpp
+++ b/src/standby/teller.cpp
@@ -1,7 +1,6 @@
 #include "wrenusher/standby/teller.hpp"
 
 #include <algorithm>
-#include <utility>
 
 namespace wrenusher::standby {
 
@@ -29,7 +28,7 @@
   known_.forget_gone(now);
   peers_.clear();
   for (const auto& [peer, its_life] : even) {
-    Listener& p = peers_[peer] = {its_life, now, false, {}, {}};
+    Listener& p = peers_[peer] = {its_life, now, 0, false, {}, {}};
     for (const auto& [key, k] : known_.all()) {
       if (now - k.at < kJustNow) p.pending.insert(key);
     }
@@ -77,7 +76,7 @@
     p.pending.insert(sent->second.keys.begin(), sent->second.keys.end());
     sent = p.flying.erase(sent);
   }
-  if ((p.pending.empty() && !p.anew) || p.flying.size() >= kMostFlying) return {};
+  if ((p.pending.empty() && !p.silent) || p.flying.size() >= kMostFlying) return {};
   Value::List rows;
   Sent sent{now, {}};
   std::size_t bytes = 0;
@@ -93,13 +92,11 @@
     sent.keys.push_back(key);
     p.pending.erase(p.pending.begin());
   }
+  p.silent = false;
   p.flying.emplace(++made_, std::move(sent));
-  return Value::Map{{"term", term_},
-                    {"life", life_},
-                    {"n", made_},
-                    {"left", std::uint64_t{p.pending.size()}},
-                    {"anew", std::exchange(p.anew, false)},
-                    {"rows", std::move(rows)}};
+  return Value::Map{{"term", term_},    {"life", life_},
+                    {"n", made_},       {"left", std::uint64_t{p.pending.size()}},
+                    {"since", p.since}, {"rows", std::move(rows)}};
 }
 
 void Teller::heard(const std::string& peer, std::uint64_t life, const std::vector<std::uint64_t>& got,
@@ -107,7 +104,7 @@
   Listener& p = peers_[peer];
   if (p.life != life) {
     // It started anew, or was away for long: it knows nothing that we know of.
-    p = {life, now, true, {}, {}};
+    p = {life, now, made_ + 1, true, {}, {}};
     for (const auto& [key, known] : known_.all()) {
       if (!known.row.value.is_null()) p.pending.insert(key);
     }
--- /dev/null
+++ b/tests/takeover_test.cpp
@@ -0,0 +1,429 @@
+// Takeovers with several machines and the rules' checker on: how soon the next leader works, with what it
+// knows, and that no rule breaks however the failures fall.
+
+#include <gtest/gtest.h>
+
+#include "wrenusher/lab/world.hpp"
+
+using namespace wrenusher::lab;
+using namespace wrenusher::protocol;
+using wrenusher::mail::Readiness;
+
+namespace {
+
+std::string notes(const World& w) {
+  std::string out;
+  for (const std::string& n : w.checker.notes()) out += n + "\n";
+  return out;
+}
+
+std::string name_of(int controller) {
+  return "c" + std::to_string(controller);
+}
+
+/// Runs until the condition holds; the time that took, or the most.
+Micros until(World& w, Micros most, const std::function<bool()>& holds) {
+  const Instant from = w.now();
+  while (!holds() && w.now() - from < most) w.run(millis(5));
+  return w.now() - from;
+}
+
+/// Work for all the time around a takeover: short tasks that end and wait, a gang, a service.
+void load(World& w, double last_s) {
+  for (int i = 0; i * 3 < last_s; ++i) {
+    JobSpec s = World::job(i, 2 + static_cast<std::uint32_t>(w.pick(8)), 4, w.uniform(5, 20));
+    if (i % 4 == 3) s.needs.cores = to_amount(16);
+    if (i % 5 == 4) s.snapshot_every = from_seconds(5), s.snapshot = from_seconds(2);
+    w.at(from_seconds(3 * i), [&w, s] { w.submit(s); });
+  }
+  JobSpec gang = World::job(900, 4, 8, 20);
+  gang.shape = Shape::gang;
+  gang.same_place = true;
+  w.at(from_seconds(30), [&w, gang] { w.submit(gang); });
+  JobSpec service = World::job(901, 3, 2, 0);
+  service.shape = Shape::daemon;
+  service.scatter = true;
+  w.at(from_seconds(5), [&w, service] { w.submit(service); });
+  w.at(from_seconds(last_s + 60), [&w, service] { w.withdraw(service.ref); });
+}
+
+/// Something that goes wrong around a takeover; `leader` is the one that leads when it begins.
+struct Hard {
+  const char* name;
+  std::function<void(World& w, int leader)> strike;
+};
+
+void end(World& w, int controller) {
+  w.crash(controller, from_seconds(20));
+}
+int other(int leader, int n = 1) {
+  return (leader + n) % 3;
+}
+/// Does something as soon as the next term has begun.
+void in_next_term(World& w, std::function<void()> f) {
+  const std::uint64_t now = w.terms();
+  auto look = std::make_shared<std::function<void()>>();
+  *look = [&w, f = std::move(f), now, weak = std::weak_ptr(look)] {
+    if (w.terms() > now) {
+      f();
+    } else if (const auto again = weak.lock()) {
+      w.at(millis(5), [again] { (*again)(); });
+    }
+  };
+  (*look)();
+}
+void heal_after(World& w, double s) {
+  w.at(from_seconds(s), [&w] { w.heal(); });
+}
+
+std::vector<Hard> hard_cases() {
+  return {
+      {"a commit under way of which nobody knows",
+       [](World& w, int l) {
+         w.cut_one_way("state", name_of(l), Cut::reset);
+         w.at(millis(400), [&w, l] { end(w, l); });
+         heal_after(w, 20);
+       }},
+      {"what a dead leader had sent to the state service comes late",
+       [](World& w, int l) {
+         w.cut_one_way(name_of(l), "state", Cut::hold);
+         w.at(from_seconds(1), [&w, l] { end(w, l); });
+         heal_after(w, 9);
+       }},
+      {"two takeovers in a row, the second within the first's check",
+       [](World& w, int l) {
+         in_next_term(w, [&w] {
+           w.at(millis(10), [&w] {
+             for (int i = 0; i < 3; ++i)
+               if (w.leader() == i) end(w, i);
+           });
+         });
+         end(w, l);
+       }},
+      {"the warmest ends with the leader",
+       [](World& w, int l) {
+         end(w, l);
+         end(w, std::min(other(l), other(l, 2)));
+       }},
+      {"a standby is cut off from the leader alone",
+       [](World& w, int l) {
+         w.cut(name_of(l), name_of(other(l)), Cut::hold);
+         w.at(from_seconds(8), [&w, l] { end(w, l); });
+         heal_after(w, 30);
+       }},
+      {"a standby does not hear the leader, which hears it",
+       [](World& w, int l) {
+         w.cut_one_way(name_of(l), name_of(other(l)), Cut::reset);
+         w.at(from_seconds(8), [&w, l] { end(w, l); });
+         heal_after(w, 30);
+       }},
+      {"the leader does not hear a standby",
+       [](World& w, int l) {
+         w.cut_one_way(name_of(other(l)), name_of(l), Cut::hold);
+         w.at(from_seconds(8), [&w, l] { end(w, l); });
+         heal_after(w, 30);
+       }},
+      {"a standby is cut off from the state service, and hears no answers of it",
+       [](World& w, int l) {
+         w.cut(name_of(other(l)), "state", Cut::hold);
+         w.cut_one_way("state", name_of(other(l, 2)), Cut::hold);
+         w.at(from_seconds(5), [&w, l] { end(w, l); });
+         heal_after(w, 12);
+       }},
+      {"the standbys are cut off from the workers",
+       [](World& w, int l) {
+         for (const std::string& h : w.hosts()) {
+           w.cut(name_of(other(l)), h, Cut::hold);
+           w.cut_one_way(name_of(other(l, 2)), h, Cut::reset);
+         }
+         w.at(from_seconds(2), [&w, l] { end(w, l); });
+         heal_after(w, 20);
+       }},
+      {"a standby stood still for longer than a hold and believes itself warm",
+       [](World& w, int l) {
+         w.stall(other(l), from_seconds(9));
+         w.at(from_seconds(8), [&w, l] { end(w, l); });
+       }},
+      {"the leader stands still and goes on", [](World& w, int l) { w.stall(l, from_seconds(7)); }},
+      {"the state service is away during the check",
+       [](World& w, int l) {
+         in_next_term(w, [&w] {
+           w.state_outage(true);
+           w.at(from_seconds(6), [&w] { w.state_outage(false); });
+         });
+         end(w, l);
+       }},
+      {"the state service is slow during the check",
+       [](World& w, int l) {
+         w.state_slow(millis(600));
+         w.at(from_seconds(15), [&w] { w.state_slow(Micros{0}); });
+         end(w, l);
+       }},
+      {"the state service refuses the new leader alone",
+       [](World& w, int l) {
+         in_next_term(w, [&w] {
+           for (int i = 0; i < 3; ++i) {
+             if (w.leader() != i) continue;
+             w.state_refuses(i, true);
+             w.at(from_seconds(8), [&w, i] { w.state_refuses(i, false); });
+           }
+         });
+         end(w, l);
+       }},
+      {"all begin anew at once",
+       [](World& w, int) {
+         for (int i = 0; i < 3; ++i) w.crash(i, from_seconds(3));
+       }},
+      {"all begin anew one after the other while a zone is cut off",
+       [](World& w, int) {
+         w.cut_zone("b", Cut::hold);
+         heal_after(w, 25);
+         for (int i = 0; i < 3; ++i) w.at(from_seconds(6 * i), [&w, i] { w.crash(i, from_seconds(3)); });
+       }},
+      {"spot machines are taken just before",
+       [](World& w, int l) {
+         for (const std::string& h : w.hosts()) w.take(h, from_seconds(w.uniform(0, 3)));
+         w.at(from_seconds(1), [&w, l] { end(w, l); });
+       }},
+      {"machines hang that the hints call well",
+       [](World& w, int l) {
+         w.at(millis(300), [&w] {
+           for (const std::string& h : w.hosts()) {
+             if (w.pick(2) == 0) w.hang(h, from_seconds(w.uniform(3, 25)));
+           }
+         });
+         end(w, l);
+       }},
+      {"machines come up that only the dead leader knew of",
+       [](World& w, int l) {
+         for (int i = 1; i < 3; ++i) w.cut(name_of(l), name_of(other(l, i)), Cut::reset);
+         for (int i = 500; i < 512; ++i) w.submit(World::job(i, 6, 8, 10));
+         w.at(from_seconds(2), [&w, l] { end(w, l); });
+         heal_after(w, 20);
+       }},
+      {"a second token within half a lease",
+       [](World& w, int l) {
+         end(w, l);
+         in_next_term(w, [&w] {
+           w.at(millis(700), [&w] {
+             for (int i = 0; i < 3; ++i)
+               if (w.leader() == i) w.stall(i, from_seconds(6));
+           });
+         });
+       }},
+      {"the new leader is short of processor",
+       [](World& w, int l) {
+         in_next_term(w, [&w] {
+           for (int k = 0; k < 8; ++k) {
+             w.at(millis(400 * k), [&w] {
+               for (int i = 0; i < 3; ++i)
+                 if (w.leader() == i) w.stall(i, millis(300));
+             });
+           }
+         });
+         end(w, l);
+       }},
+      {"users cancel what runs while nobody leads",
+       [](World& w, int l) {
+         end(w, l);
+         for (int i = 0; i < 20; i += 3)
+           w.at(millis(200 * i), [&w, i] { w.withdraw(World::job(i, 1, 1, 1).ref); });
+       }},
+  };
+}
+
+/// Few machines, all of one type and kept, so that what they hold is known.
+Site steady_site(bool standby) {
+  Site s = parse_site(small_site_yaml(), "site.yaml");
+  s.types.resize(1);
+  s.types[0].spot = 0;
+  s.types[0].ordinary = 12;
+  s.machines = 12;
+  s.settings.tunables.idle_return = from_seconds(3600);
+  s.settings.tunables.standby = standby;
+  return s;
+}
+
+struct Orders {
+  std::size_t all = 0;
+  std::size_t had_image = 0;
+};
+
+/// A job leaves its image on some machines, the leader ends, and a second one that needs the image comes.
+Orders orders_after_takeover(bool standby) {
+  World w(11, steady_site(standby));
+  w.run(from_seconds(15));
+  // Those that come first by name are kept busy, so that the image comes to others.
+  JobSpec filler = World::job(5, 8, 16, 40);
+  filler.bundle = "zero";
+  w.submit(filler);
+  w.run(from_seconds(8));
+  JobSpec first = World::job(1, 12, 4, 10);
+  first.bundle = "one";
+  first.image_gb = 12;
+  w.submit(first);
+  w.run(from_seconds(80));
+  const int leader = w.leader();
+  Orders seen;
+  w.crash(leader, from_seconds(60));
+  until(w, from_seconds(15), [&] { return w.leader() >= 0; });
+  w.run(from_seconds(4));
+  w.machines().on_order = [&](bool has_image) {
+    ++seen.all;
+    seen.had_image += has_image ? 1 : 0;
+  };
+  JobSpec second = World::job(3, 6, 4, 10);
+  second.bundle = "one";
+  second.image_gb = 12;
+  w.submit(second);
+  w.run(from_seconds(30));
+  EXPECT_TRUE(w.checker.broken().empty()) << notes(w);
+  return seen;
+}
+
+}  // namespace
+
+TEST(Takeover, HardCasesBreakNoRuleAndLoseNoJob) {
+  for (const Hard& h : hard_cases()) {
+    for (std::uint64_t seed = 1; seed <= 3; ++seed) {
+      World w(seed * 7);
+      load(w, 90);
+      w.run(from_seconds(45));
+      ASSERT_GE(w.leader(), 0);
+      h.strike(w, w.leader());
+      w.run(from_seconds(420));
+      EXPECT_TRUE(w.checker.broken().empty()) << h.name << ", seed " << seed << "\n" << notes(w);
+      EXPECT_EQ(w.live(), 0U) << h.name << ", seed " << seed;
+      EXPECT_GE(w.leader(), 0) << h.name << ", seed " << seed;
+    }
+  }
+}
+
+TEST(Takeover, HardCasesInPairsBreakNoRuleAndLoseNoJob) {
+  const auto all = hard_cases();
+  for (std::size_t i = 0; i < all.size(); ++i) {
+    const Hard& a = all[i];
+    const Hard& b = all[(i * 5 + 3) % all.size()];
+    World w(400 + i);
+    load(w, 110);
+    w.run(from_seconds(45));
+    ASSERT_GE(w.leader(), 0);
+    a.strike(w, w.leader());
+    w.run(from_seconds(w.uniform(2, 12)));
+    b.strike(w, std::max(0, w.leader()));
+    w.run(from_seconds(450));
+    EXPECT_TRUE(w.checker.broken().empty()) << a.name << " and " << b.name << "\n" << notes(w);
+    EXPECT_EQ(w.live(), 0U) << a.name << " and " << b.name;
+  }
+}
+
+TEST(Takeover, TheNextTermBeginsAsTheHoldEndsAndStartsTasksAtOnce) {
+  for (std::uint64_t seed = 1; seed <= 6; ++seed) {
+    World w(seed);
+    load(w, 120);
+    w.run(from_seconds(60));
+    const int leader = w.leader();
+    ASSERT_GE(leader, 0);
+    for (int i = 1; i < 3; ++i) EXPECT_EQ(w.ready(other(leader, i)), Readiness::warm);
+    std::optional<Instant> ordered;
+    const Instant ended = w.now();
+    w.crash(leader, from_seconds(40));
+    const Micros hold = World::small_site().tunables.hold_life;
+    EXPECT_LE(until(w, from_seconds(15), [&] { return w.leader() >= 0; }), hold + millis(250));
+    w.machines().on_order = [&](bool) {
+      if (!ordered) ordered = w.now();
+    };
+    for (int i = 600; i < 604; ++i) w.submit(World::job(i, 4, 1, 5));
+    w.run(from_seconds(8));
+    ASSERT_TRUE(ordered);
+    EXPECT_LE(*ordered - ended, hold + millis(1500)) << "seed " << seed;
+    w.run(from_seconds(20));
+    ASSERT_FALSE(w.takeovers().empty());
+    const auto& parts = w.takeovers().back().parts;
+    EXPECT_TRUE(parts.warm);
+    EXPECT_LE(parts.last_machine, from_seconds(2.5)) << "seed " << seed;
+    EXPECT_TRUE(w.checker.broken().empty()) << notes(w);
+  }
+}
+
+TEST(Takeover, TheImagesThatMachinesHoldAreNotForgotten) {
+  const Orders warm = orders_after_takeover(true);
+  const Orders cold = orders_after_takeover(false);
+  EXPECT_EQ(warm.all, 6U);
+  EXPECT_EQ(warm.had_image, warm.all);
+  EXPECT_LT(cold.had_image, cold.all);
+}
+
+TEST(Takeover, ALeaderThatHearsNoWorkersHandsOverWithinAFractionOfASecond) {
+  World w(33);
+  for (int i = 1; i < 16; i += 2) w.submit(World::job(i, 4, 8, 200));
+  w.run(from_seconds(60));
+  const int leader = w.leader();
+  ASSERT_GE(leader, 0);
+  for (const std::string& host : w.hosts()) w.cut(name_of(leader), host, Cut::hold);
+  until(w, from_seconds(30), [&] { return w.leader() != leader; });
+  EXPECT_LE(until(w, from_seconds(10), [&] { return w.leader() >= 0; }), millis(400));
+  EXPECT_NE(w.leader(), leader);
+  EXPECT_TRUE(w.checker.broken().empty()) << notes(w);
+}
+
+TEST(Takeover, AColderCandidateGoesWhenTheWarmestDoesNot) {
+  World w(35);
+  load(w, 60);
+  w.run(from_seconds(50));
+  const int leader = w.leader();
+  ASSERT_GE(leader, 0);
+  const int first = std::min(other(leader), other(leader, 2));
+  w.crash(leader, from_seconds(60));
+  w.run(from_seconds(2));
+  w.stall(first, from_seconds(20));
+  EXPECT_LE(until(w, from_seconds(15), [&] { return w.leader() >= 0; }), from_seconds(3.5));
+  EXPECT_EQ(w.leader(), 3 - leader - first);
+  w.run(from_seconds(30));
+  EXPECT_TRUE(w.checker.broken().empty()) << notes(w);
+}
+
+TEST(Takeover, ALeaderThatIsBackSoonLeavesItsLeadToAWarmPeer) {
+  World w(37);
+  load(w, 60);
+  w.run(from_seconds(50));
+  const int leader = w.leader();
+  ASSERT_GE(leader, 0);
+  w.crash(leader, from_seconds(1));
+  EXPECT_LE(until(w, from_seconds(15), [&] { return w.leader() >= 0; }), from_seconds(1.6));
+  EXPECT_NE(w.leader(), leader);
+  w.run(from_seconds(30));
+  EXPECT_TRUE(w.takeovers().back().parts.warm);
+  EXPECT_TRUE(w.checker.broken().empty()) << notes(w);
+}
+
+TEST(Takeover, AStandbyTakesLittleOfTheStateServicesPace) {
+  World w(39);
+  load(w, 120);
+  w.run(from_seconds(20));
+  const int leader = w.leader();
+  ASSERT_GE(leader, 0);
+  std::uint64_t before = 0;
+  for (int i = 1; i < 3; ++i) before += w.state_requests(name_of(other(leader, i)));
+  w.run(from_seconds(100));
+  std::uint64_t after = 0;
+  for (int i = 1; i < 3; ++i) after += w.state_requests(name_of(other(leader, i)));
+  // Two followers, with their looks, watches and users' questions.
+  EXPECT_LT(static_cast<double>(after - before), 0.1 * 100 * World::small_site().state_rps);
+}
+
+TEST(Takeover, SwitchedOffItReadsTheRecordsAsBefore) {
+  Settings s = World::small_site();
+  s.tunables.standby = false;
+  World w(41, s);
+  load(w, 60);
+  w.run(from_seconds(50));
+  const int leader = w.leader();
+  ASSERT_GE(leader, 0);
+  for (int i = 1; i < 3; ++i) EXPECT_EQ(w.ready(other(leader, i)), Readiness::cold);
+  end(w, leader);
+  w.run(from_seconds(400));
+  EXPECT_FALSE(w.takeovers().back().parts.warm);
+  EXPECT_TRUE(w.checker.broken().empty()) << notes(w);
+  EXPECT_EQ(w.live(), 0U);
+}
