Gangs that lose a task before their start are completed; silent machines known sooner after a takeover

Cause: a gang that lost a task before its start was cleared away and gathered anew; found so at a takeover it even held its places until its tasks gave up.

Change: what is lost before the start is placed again under the same attempt, in the zone and layout of the rest, within 8 s; else, or if it had started after all, it begins anew. A worker is asked up to three times for its word; one that neither answers nor reports is as silent as one this leader had heard before, counted from the last leader's end.

--- a/lab/models/include/wrenusher/lab/machines.hpp
+++ b/lab/models/include/wrenusher/lab/machines.hpp
@@ -57,6 +57,8 @@
   bool standby(const std::string& host) const;
   std::string zone_of(const std::string& host) const;
   std::string flavor_of(const std::string& host) const;
+  /// Tasks that a worker has, in whatever state.
+  std::vector<std::pair<std::string, std::uint32_t>> units_on(const std::string& host) const;
 
   /// What became of work, in core seconds.
   struct Work {
@@ -68,7 +70,8 @@
   std::function<void(const std::string& ref, std::uint32_t task)> on_start;
   std::function<void(const std::string& ref, std::uint32_t task)> on_done;
   /// A worker takes an order to run a task; whether it has the image already.
-  std::function<void(bool has_image)> on_order;
+  std::function<void(const std::string& ref, std::uint32_t task, std::uint64_t attempt, bool has_image)>
+      on_order;
 
  private:
   struct Task;
--- a/lab/models/machines.cpp
+++ b/lab/models/machines.cpp
@@ -238,6 +238,14 @@
   return it == machines_.end() ? "" : it->second->flavor;
 }
 
+std::vector<std::pair<std::string, std::uint32_t>> Machines::units_on(const std::string& host) const {
+  std::vector<std::pair<std::string, std::uint32_t>> out;
+  if (const auto it = machines_.find(host); it != machines_.end()) {
+    for (const Task& t : it->second->tasks) out.emplace_back(t.ref, t.task);
+  }
+  return out;
+}
+
 // ---------------------------------------------------------------- time passes
 
 void Machines::step() {
@@ -517,7 +525,7 @@
   t.status = "pulling";
   // The tasks of a job are alike, give or take a quarter; a gang's are one.
   t.luck = job->spec.shape == Shape::gang ? 1 : wires_.uniform(0.75, 1.25);
-  if (on_order) on_order(m.has(job->spec.bundle));
+  if (on_order) on_order(ref, task, attempt, m.has(job->spec.bundle));
   if (!m.has(job->spec.bundle)) m.pulls.try_emplace(job->spec.bundle, job->spec.image_gb);
   m.tasks.push_back(std::move(t));
 }
--- a/lab/sim/day.cpp
+++ b/lab/sim/day.cpp
@@ -185,7 +185,9 @@
   };
   arrivals(w, site, seed);
   TakeoverTally takeovers;
-  w.machines().on_order = [&](bool has_image) { takeovers.ordered(w.now(), has_image); };
+  w.machines().on_order = [&](const std::string&, std::uint32_t, std::uint64_t, bool has_image) {
+    takeovers.ordered(w.now(), has_image);
+  };
   troubles(w, site, lost, [&](const std::string& what) { takeovers.struck(what, w.now()); });
   w.run(site.length);
 
--- a/lab/sim/include/wrenusher/lab/world.hpp
+++ b/lab/sim/include/wrenusher/lab/world.hpp
@@ -110,6 +110,9 @@
   /// What the controllers read as the operators' topology from now on.
   void edit_topology(const std::string& text) { site_.topology_text = text; }
   std::vector<std::string> hosts(const std::string& zone = "") const { return machines_.up(zone); }
+  std::vector<std::pair<std::string, std::uint32_t>> units_on(const std::string& host) const {
+    return machines_.units_on(host);
+  }
   void fails_everywhere(const std::string& ref) { machines_.mistaken(ref); }
   void fails_on(const std::string& host) { machines_.faulty(host); }
   /// Strikes now; ends by itself.
--- a/src/book/book.cpp
+++ b/src/book/book.cpp
@@ -175,11 +175,12 @@
   c.leeway = leeway;
 }
 
-void Book::set_phase(const Job& job, Claim& c, Phase phase) {
+void Book::set_phase(Job& job, Claim& c, Phase phase) {
   if (c.phase == phase) return;
   if (c.phase == Phase::loaded) --loaded_;
   if (c.phase == Phase::running) Machines::rests(*c.at, job.spec());
   if (phase == Phase::running) Machines::runs(*c.at, job.spec());
+  if (phase == Phase::running || phase == Phase::saving) job.started = true;
   machines_.touch(*c.at);
   c.phase = phase;
 }
@@ -194,20 +195,35 @@
   machines_.end_pull(*c.at, job.spec());
 }
 
-void Book::release(Job& job, std::uint32_t task, const char* why) {
+void Book::release(Job& job, std::uint32_t task, const char* why, bool lost) {
   log::debug("task_off", "task {task} is off its machine: {reason}",
              log::with("task", unit_name(job.spec().ref, task)), log::with("reason", why));
   unclaim(job, task);
   ++job.change;
   if (job.rec.withdrawn) return;
   if (!job.done.contains(task)) job.waiting.add(task);
-  if (job.spec().shape == Shape::gang) break_gang(job);
+  if (job.spec().shape != Shape::gang) return;
+  if (!lost || job.broken || job.started || job.claims.empty()) {
+    break_gang(job);
+  } else if (job.short_since == Instant{}) {
+    // The rest keeps waiting, and one of the same attempt completes it. Whether the gang had started after
+    // all shows as soon as a report shows the rest.
+    job.short_since = rt_.now();
+  }
+}
+
+bool Book::completes(const Job& job) {
+  return !job.broken && !job.started && std::all_of(job.claims.begin(), job.claims.end(), [](const auto& c) {
+    const Claim& claim = c.second;
+    return !claim.halt &&
+           (claim.phase == Phase::fresh || claim.phase == Phase::pulling || claim.phase == Phase::gathering);
+  });
 }
 
-/// A gang's tasks share one attempt: once one is gone, the others are cleared away before the next attempt.
 void Book::break_gang(Job& job) {
+  job.short_since = {};
   if (job.claims.empty()) {
-    job.broken = false;
+    job.broken = job.started = false;
     return;
   }
   if (job.broken) return;
--- a/src/book/include/wrenusher/book/book.hpp
+++ b/src/book/include/wrenusher/book/book.hpp
@@ -68,8 +68,10 @@
   std::map<std::uint32_t, Claim> claims;
   std::map<std::uint32_t, std::uint64_t> fresh_done;  ///< done, not yet committed: task -> version
   std::uint64_t last_try = 0;
-  bool refresh = false;  ///< the store must be read before the next write
-  bool broken = false;   ///< gang: the attempt is over, its tasks are being cleared away
+  bool refresh = false;   ///< the store must be read before the next write
+  bool broken = false;    ///< gang: the attempt is over, its tasks are being cleared away
+  bool started = false;   ///< gang: a report has shown a task of the attempt run
+  Instant short_since{};  ///< gang: a task was lost before the start, and its place is to be filled
   std::map<std::string, Instant> avoid;
   std::set<std::string> error_hosts;
   Instant not_before{};
@@ -129,8 +131,14 @@
   void claim(Job& job, std::uint32_t task, Machine& m, std::uint64_t attempt, Phase phase);
   /// A block as it was found in the store: not to be written again.
   void restore(Job& job, std::uint32_t n, std::uint64_t version, const records::BlockRecord& b);
-  /// The task is proven to be off its machine and is not done.
-  void release(Job& job, std::uint32_t task, const char* why);
+  /// The task is proven to be off its machine and is not done. `lost`: the machine knows nothing of it any
+  /// more, so that it may be started once more under the same attempt.
+  void release(Job& job, std::uint32_t task, const char* why, bool lost = false);
+  /// Whether the gang still waits for its start, and only for tasks that it lost: they are to be started
+  /// again under the same attempt, where the rest is.
+  static bool completes(const Job& job);
+  /// A gang's tasks share one attempt: the rest of it is cleared away before the next one.
+  void break_gang(Job& job);
   void finish(Job& job, std::uint32_t task);
   /// Nothing of the job starts any more; what there is of it is still to be halted.
   void withdraw(Job& job);
@@ -141,7 +149,7 @@
   /// The task is to stop, and has so long to save.
   void stop(Claim& c, Micros leeway);
   /// Keeps count of what is in use.
-  void set_phase(const Job& job, Claim& c, Phase phase);
+  void set_phase(Job& job, Claim& c, Phase phase);
   /// The task waits for its image, unless that is there.
   void begin_pull(const Job& job, Claim& c);
   /// It has its image, or is gone.
@@ -165,7 +173,6 @@
   void rank_block(Job& job, std::uint32_t n);
   void unrank_block(Job& job, std::uint32_t n);
   void check_over(const Job& job);
-  void break_gang(Job& job);
 
   Runtime& rt_;
   Machines& machines_;
--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -17,7 +17,10 @@
 /// Workers asked for their word at a time. Whoever is short of processor gets the answers later and asks
 /// less.
 constexpr std::size_t kMostCalls = 24;
-constexpr Micros kCallTimeout = from_seconds(1.5);
+constexpr Micros kCallTimeout = from_seconds(1);
+constexpr int kCallTries = 3;
+/// Time for all of them, and for a worker whose report to the last leader must first be given up.
+constexpr Micros kCalledWithin = from_seconds(4.5);
 }  // namespace
 
 Fleet::Fleet(Runtime& rt, const Settings& settings) : rt_(rt), settings_(settings) {}
@@ -37,6 +40,7 @@
   term_ = t;
   if (begins) {
     led_since_ = rt_.now();
+    last_word_ = t.last_word;
     hosts_.clear();
     watch_.clear();
     doubted_.clear();
@@ -44,6 +48,8 @@
   if (begins || !t.leading) {
     calls_.clear();
     calling_ = 0;
+    uncalled_.clear();
+    to_call_ = 0;
   }
 }
 
@@ -100,6 +106,7 @@
     reply({});
     return;
   }
+  uncalled_.erase(report.host);
   Host& h = hosts_[report.host];
   if (std::pair(report.tenure, report.serial) <= std::pair(h.tenure, h.serial)) {
     reply({});  // older than what is known
@@ -139,12 +146,33 @@
   for (const int turn : {0, 1, 2}) {
     for (const auto& [host, m] : all->machines) {
       const int its = m.quiet ? 2 : m.room ? 0 : 1;
-      if (its == turn && !m.addr.empty()) calls_.push_back({host, m.addr, m.tenure, false});
+      if (its != turn || m.addr.empty()) continue;
+      calls_.push_back({host, m.addr, m.tenure, 0});
+      uncalled_.insert(host);
     }
   }
+  to_call_ = uncalled_.size();
   call_over();
 }
 
+/// One that answered no call and sent no report is as silent as one that this leader had heard before: its
+/// silence counts from the last leader's end, whom it could not reach either.
+void Fleet::miss_called() {
+  if (uncalled_.empty()) return;
+  const Instant now = rt_.now();
+  const Micros before = last_word_ == Instant{} ? Micros{0} : led_since_ - last_word_;
+  if (now - led_since_ < std::max(kCalledWithin, quiet_after() - before)) return;
+  // Where many are missing the fault is more likely here; what has claims goes back later all the same.
+  if (uncalled_.size() * 4 <= to_call_) {
+    for (const std::string& host : uncalled_) {
+      log::info("machine_silent", "machine {machine} is silent for {seconds:.1f} s",
+                log::with("machine", host), log::with("seconds", to_seconds(now - led_since_ + before)));
+      quiet(HostQuiet{host});
+    }
+  }
+  uncalled_.clear();
+}
+
 void Fleet::call_over() {
   while (calling_ < kMostCalls && !calls_.empty()) {
     const Call c = std::move(calls_.front());
@@ -166,15 +194,14 @@
   const auto v = o.answered && (o.response.status == 200 || o.response.status == 409)
                      ? decode(o.response.body)
                      : std::nullopt;
-  if (auto report = v ? read_report(*v) : std::nullopt; report && report->host == c.host) {
-    if (report->epoch > epoch) {
-      deposed(Deposed{report->epoch});
-    } else if (report->epoch == epoch) {
-      take(std::move(*report), false, [](const std::vector<Order>&) {});
-    } else if (!c.again) {
-      // It has begun another tenure since it was told of.
-      calls_.push_front({c.host, c.addr, report->tenure, true});
-    }
+  auto report = v ? read_report(*v) : std::nullopt;
+  if (report && report->host == c.host && report->epoch > epoch) {
+    deposed(Deposed{report->epoch});
+  } else if (report && report->host == c.host && report->epoch == epoch) {
+    take(std::move(*report), false, [](const std::vector<Order>&) {});
+  } else if (c.tries + 1 < kCallTries) {
+    // The answer was lost, or it has begun another tenure since it was told of.
+    calls_.push_back({c.host, c.addr, report ? report->tenure : c.tenure, c.tries + 1});
   }
   call_over();
 }
@@ -200,6 +227,7 @@
 
 void Fleet::on_gone(const HostGone& g) {
   hosts_.erase(g.host);
+  uncalled_.erase(g.host);
   if (!gone_.insert(g.host).second) return;
   gone_order_.push_back(g.host);
   if (gone_order_.size() > kMostGone) {
@@ -237,6 +265,7 @@
   hearing(Hearing{deaf, hears, !hosts_.empty()});
   if (term_.leading && !deaf && !few) {
     look_at_domains(late);
+    miss_called();
     for (auto& [name, h] : hosts_) {
       // One that was to be taken about now needs no long silence to be believed gone. A notice may last half
       // as long as it says, so what counts is the silence as well.
--- a/src/fleet/include/wrenusher/fleet/fleet.hpp
+++ b/src/fleet/include/wrenusher/fleet/fleet.hpp
@@ -56,10 +56,11 @@
     std::string host;
     std::string addr;
     std::uint64_t tenure = 0;
-    bool again = false;  ///< its tenure was another than believed
+    int tries = 0;
   };
   void call_over();
   void called(const Call& c, std::uint64_t epoch, const Outcome& o);
+  void miss_called();
   void tick();
   void look_at_domains(Micros late);
   Response elsewhere() const;
@@ -81,6 +82,9 @@
   std::set<std::string> doubted_;  ///< as it was last told
   std::deque<Call> calls_;         ///< still to be made, in order
   std::size_t calling_ = 0;
+  std::set<std::string> uncalled_;  ///< of those that the last leader had: not heard yet
+  std::size_t to_call_ = 0;         ///< how many there were
+  Instant last_word_{};             ///< of the last leader
   std::set<std::string> gone_;
   std::deque<std::string> gone_order_;
 };
--- a/src/ledger/ledger.cpp
+++ b/src/ledger/ledger.cpp
@@ -243,7 +243,7 @@
   if (!there.empty())
     log::info("machine_gone", "machine {machine} is gone with {tasks} tasks", log::with("machine", g.host),
               log::with("tasks", there.size()));
-  for (const auto& [id, job] : there) book_.release(*job, id.second, "its machine is gone");
+  for (const auto& [id, job] : there) book_.release(*job, id.second, "its machine is gone", true);
   held_.void_answer(g.host);
   machines_.erase(g.host);
   estimator_.forget_host(g.host);
--- a/src/provisioner/provisioner.cpp
+++ b/src/provisioner/provisioner.cpp
@@ -384,19 +384,11 @@
 /// way is known.
 void Provisioner::see_heirs() {
   if (heirs_most_ == 0) return;
-  const Instant now = rt_.now();
-  const double missing = static_cast<double>(heirs_.size()) / static_cast<double>(heirs_most_);
-  if (missing <= kFewHeirs) {
-    rent_not_before_ = std::min(rent_not_before_, now);
-    ordinary_not_before_ = std::min(ordinary_not_before_, now);
-  }
-  if (now - term_began_ <= found_within()) return;
-  // Where most are missing the fault is more likely here.
-  if (missing < 0.5) {
-    for (const std::string& host : heirs_) give_back_silent(host, "it is not heard in this term");
-  }
+  if (static_cast<double>(heirs_.size()) > kFewHeirs * static_cast<double>(heirs_most_)) return;
   heirs_most_ = 0;
   heirs_.clear();
+  rent_not_before_ = std::min(rent_not_before_, rt_.now());
+  ordinary_not_before_ = std::min(ordinary_not_before_, rt_.now());
 }
 
 void Provisioner::tell_hints() {
--- a/src/reports/reports.cpp
+++ b/src/reports/reports.cpp
@@ -93,13 +93,13 @@
     if (c.phase == Phase::fresh) {
       // Starts go out in responses to reports alone, so this report settles every earlier one; the answer to
       // /orders does not.
-      if (settled && m.current && (c.halt || !m.usable())) book_.release(*job, task, "not started");
+      if (settled && m.current && (c.halt || !m.usable())) book_.release(*job, task, "not started", true);
     } else if (c.phase == Phase::loaded) {
       // Claimed under an earlier term: only a worker that has taken this term's epoch cannot be told to start
       // it any more. This leader never orders it either, so its answer to /orders settles it as well.
-      if (m.current) book_.release(*job, task, "never started, or lost before this term");
+      if (m.current) book_.release(*job, task, "never started, or lost before this term", true);
     } else {
-      book_.release(*job, task, "gone from its machine");
+      book_.release(*job, task, "gone from its machine", true);
     }
   }
 }
--- a/src/rounds/include/wrenusher/rounds/rounds.hpp
+++ b/src/rounds/include/wrenusher/rounds/rounds.hpp
@@ -92,6 +92,7 @@
   std::vector<planner::Leaving> leaving(const Machine& m) const;
   void see_sought();
   void see_waiting();
+  bool gang_may_start(Job& job);
   void set_job(Job& job, Ticket& t);
   void hide(Ticket& t);
   bool zones_of(const Job& job, planner::PlanJob& p) const;
--- a/src/rounds/rounds.cpp
+++ b/src/rounds/rounds.cpp
@@ -24,6 +24,8 @@
 /// An estimate is followed once it has moved by more than one part in so many.
 constexpr int kEstimateStep = 32;
 constexpr Micros kWaitsEvery = from_seconds(1);
+/// A gang that lost a task before its start is completed within this time or begins anew.
+constexpr Micros kCompleteWithin = from_seconds(8);
 
 /// A job that would be late by the time a new machine has come takes what is there now.
 bool too_late(const planner::Slack& sl, Micros patience) {
@@ -238,9 +240,8 @@
       continue;
     }
     const bool guaranteed = guarantees.fits(spec, spec.units - job.done.size());
-    // A job that fails everywhere pauses; a gang starts again once all of it is off.
-    if (job.waiting.empty() || rt_.now() < job.not_before ||
-        (spec.shape == Shape::gang && !job.claims.empty())) {
+    // A job that fails everywhere pauses.
+    if (job.waiting.empty() || rt_.now() < job.not_before || !gang_may_start(job)) {
       hide(t);
       continue;
     }
@@ -276,6 +277,19 @@
   machines_.want_devices(std::move(wanted));
 }
 
+/// A gang starts as a whole, or is completed while all the rest of it waits for its start; else it starts
+/// again once all of it is off.
+bool Rounds::gang_may_start(Job& job) {
+  if (job.spec().shape != Shape::gang || job.claims.empty()) return true;
+  const Instant now = rt_.now();
+  if (job.short_since == Instant{}) job.short_since = now;  // found so at takeover
+  // It had started after all, or no place is to be had: those that wait would hold theirs for nothing.
+  if (!job.broken &&
+      (job.started || now - job.short_since > std::min(kCompleteWithin, settings_.gang_wait / 2)))
+    book_.break_gang(job);
+  return Book::completes(job);
+}
+
 void Rounds::set_job(Job& job, Ticket& t) {
   const JobSpec& spec = job.spec();
   planner::PlanJob p;
@@ -404,7 +418,11 @@
     Job& job = *job_at_[pl.job];
     const planner::PlanHost& host = *board_.host(pl.host);
     const planner::PlanJob& shown = board_.job(pl.job);
-    const auto [it, first] = attempts.try_emplace(pl.job, job.last_try + 1);
+    // What completes a gang has the attempt of the rest.
+    const bool completes = job.spec().shape == Shape::gang && !job.claims.empty();
+    const auto [it, first] =
+        attempts.try_emplace(pl.job, completes ? job.claims.begin()->second.attempt : job.last_try + 1);
+    job.short_since = {};
     for (std::uint32_t i = 0; i < pl.tasks; ++i)
       book_.claim(job, *job.waiting.first(), *machine_at_[pl.host], it->second, Phase::fresh);
     log::debug("tasks_placed",
--- a/tests/takeover_test.cpp
+++ b/tests/takeover_test.cpp
@@ -268,7 +268,7 @@
   w.crash(leader, from_seconds(60));
   until(w, from_seconds(15), [&] { return w.leader() >= 0; });
   w.run(from_seconds(4));
-  w.machines().on_order = [&](bool has_image) {
+  w.machines().on_order = [&](const std::string&, std::uint32_t, std::uint64_t, bool has_image) {
     ++seen.all;
     seen.had_image += has_image ? 1 : 0;
   };
@@ -330,7 +330,7 @@
     w.crash(leader, from_seconds(40));
     const Micros hold = World::small_site().tunables.hold_life;
     EXPECT_LE(until(w, from_seconds(15), [&] { return w.leader() >= 0; }), hold + millis(250));
-    w.machines().on_order = [&](bool) {
+    w.machines().on_order = [&](const std::string&, std::uint32_t, std::uint64_t, bool) {
       if (!ordered) ordered = w.now();
     };
     for (int i = 600; i < 604; ++i) w.submit(World::job(i, 4, 1, 5));
@@ -427,3 +427,96 @@
   EXPECT_TRUE(w.checker.broken().empty()) << notes(w);
   EXPECT_EQ(w.live(), 0U);
 }
+
+namespace {
+
+/// A gang of four on machines of its own, whose images take a while; where its tasks were ordered, by
+/// attempt.
+struct GangDay {
+  World w;
+  JobSpec gang;
+  std::map<std::uint64_t, std::multiset<std::uint32_t>> orders;
+  explicit GangDay(std::uint64_t seed) : w(seed, site()) {
+    gang = World::job(1, 4, 16, 30);
+    gang.shape = Shape::gang;
+    gang.same_place = true;
+    gang.standby = false;
+    gang.image_gb = 20;
+    gang.snapshot_every = from_seconds(5);
+    gang.snapshot = from_seconds(2);
+    w.machines().on_order = [this](const std::string& ref, std::uint32_t task, std::uint64_t attempt, bool) {
+      if (ref == gang.ref) orders[attempt].insert(task);
+    };
+    w.run(from_seconds(15));
+    w.submit(gang);
+  }
+  static Site site() {
+    Site s = steady_site(true);
+    s.settings.gang_wait = from_seconds(60);
+    return s;
+  }
+  /// A machine on which a task of the gang is, or is to be.
+  std::string member() const {
+    for (const std::string& h : w.hosts()) {
+      if (!w.units_on(h).empty()) return h;
+    }
+    return "";
+  }
+  void finish() {
+    w.run(from_seconds(300));
+    EXPECT_TRUE(w.checker.broken().empty()) << notes(w);
+    EXPECT_EQ(w.told(gang.ref), "done");
+  }
+};
+
+}  // namespace
+
+TEST(Takeover, AGangThatLosesATaskBeforeItsStartIsCompletedUnderTheSameAttempt) {
+  for (const bool takeover : {false, true}) {
+    for (std::uint64_t seed = 1; seed <= 4; ++seed) {
+      GangDay d(seed);
+      d.w.run(from_seconds(8));  // all of them wait for their image
+      ASSERT_EQ(d.orders[1].size(), 4U);
+      const std::string host = d.member();
+      ASSERT_FALSE(host.empty());
+      d.w.die(host);
+      if (takeover) end(d.w, d.w.leader());
+      d.finish();
+      EXPECT_EQ(d.orders.size(), 1U) << "seed " << seed;
+      EXPECT_EQ(d.orders[1].size(), 5U) << "seed " << seed;
+    }
+  }
+}
+
+TEST(Takeover, AGangThatLosesATaskWhileItRunsBeginsAnewFromWhatIsSaved) {
+  for (const bool takeover : {false, true}) {
+    GangDay d(3);
+    d.w.run(from_seconds(45));
+    ASSERT_EQ(d.orders.size(), 1U);
+    const std::string host = d.member();
+    ASSERT_FALSE(host.empty());
+    d.w.die(host);
+    if (takeover) end(d.w, d.w.leader());
+    d.finish();
+    EXPECT_EQ(d.orders.size(), 2U);
+  }
+}
+
+TEST(Takeover, AGangThatIsStoppedInOrderGoesOnUnderTheNextTerm) {
+  // The leader ends while its tasks save, and before they have left.
+  for (const std::int64_t after : {100, 600, 1500, 3000}) {
+    GangDay d(5);
+    d.gang.standby = true;
+    d.w.run(from_seconds(45));
+    ASSERT_EQ(d.orders.size(), 1U);
+    JobSpec service = World::job(51, 8, 16, 0);
+    service.shape = Shape::daemon;
+    service.urgency = Urgency::prod;
+    service.standby = false;
+    d.w.submit(service);
+    d.w.run(millis(after));
+    if (d.w.leader() >= 0) end(d.w, d.w.leader());
+    d.w.at(from_seconds(100), [&] { d.w.withdraw(service.ref); });
+    d.finish();
+  }
+}
