In a term's first moments no place is taken without the image where one with it may still be heard

Change: for 1.2 s, in which all that live are heard, a job takes no place without its image while a machine that held it with room, by the last leader's word, has not been heard. bench/standby_bench: what following, telling and taking over cost by machines, claims and changes.

--- /dev/null
+++ b/bench/standby_bench.cpp
@@ -0,0 +1,280 @@
+// What a standby costs, and a takeover with and without one, by machines, claims and changes. One core;
+// figures of one run are to be compared with each other only.
+//
+//   follow_one_write/CLAIMS       one slot with so many claims, as a follow brings it: decoded and applied
+//   read_records/MACHINES/CLAIMS  all records as pages bring them: decoded, and taken into book and writer
+//   take_copy/MACHINES/CLAIMS     a copy that was followed, taken into book and writer
+//   conditions/MACHINES/CLAIMS    what the check compares: keys, and requests of 64 conditions
+//   tell/MACHINES/CHANGES         one heartbeat of a leader of which so many machines changed, to two peers
+//   heard/MACHINES/CHANGES        the same at a peer
+//
+// Jobs of 50 tasks, one claim a task, four images a machine. Counters: bytes of the copy a claim, of the
+// picture a machine, and of one heartbeat.
+
+#include <benchmark/benchmark.h>
+#include <malloc.h>
+#include <spdlog/spdlog.h>
+
+#include <random>
+
+#include "wrenusher/ledger/takeover.hpp"
+#include "wrenusher/standby/standby.hpp"
+
+namespace {
+
+using namespace wrenusher::base;
+using namespace wrenusher::mail;
+using namespace wrenusher::protocol;
+namespace book = wrenusher::book;
+namespace estimates = wrenusher::estimates;
+namespace ledger = wrenusher::ledger;
+namespace machines = wrenusher::machines;
+namespace records = wrenusher::records;
+namespace standby = wrenusher::standby;
+namespace store = wrenusher::store;
+namespace writer = wrenusher::writer;
+
+constexpr std::uint32_t kTasks = 50;
+constexpr std::size_t kSlotBytes = 16 * 1024;
+
+class StillRuntime : public Runtime {
+ public:
+  Instant now() const override { return Instant{from_seconds(1000)}; }
+  WallTime wall() const override { return WallTime{from_seconds(1e6)}; }
+  std::mt19937_64& random() override { return random_; }
+  void post(std::function<void()>) override {}
+  void after(Micros, std::function<void()>) override {}
+  void fetch(const Endpoint&, Request, Micros, Done) override {}
+
+ private:
+  std::mt19937_64 random_{7};
+};
+
+std::string host(std::size_t n) {
+  return "m-" + std::to_string(100000 + n);
+}
+
+JobSpec job(std::size_t n) {
+  JobSpec s;
+  s.ref = "req-" + std::to_string(100000 + n);
+  s.queue = "work";
+  s.owner = "team";
+  s.units = kTasks;
+  s.needs = {to_amount(1), 0, to_amount(1)};
+  s.bundle = "img-" + std::to_string(n % 200);
+  s.image_gb = 2;
+  s.expected = from_seconds(40);
+  return s;
+}
+
+/// Live jobs and slots as the state service holds them.
+std::vector<store::Row> rows(std::size_t machines, std::size_t claims) {
+  std::vector<store::Row> out;
+  Value::List blocks;
+  std::size_t bytes = 0;
+  std::uint32_t slot = 0;
+  std::uint64_t stamp = 0;
+  const auto close = [&] {
+    if (blocks.empty()) return;
+    out.push_back(
+        {records::slot_key(slot), records::write_slot(slot, std::exchange(blocks, {})), ++stamp, 0});
+    ++slot;
+    bytes = 0;
+  };
+  for (std::size_t n = 0; n * kTasks < claims; ++n) {
+    const JobSpec spec = job(n);
+    out.push_back({records::job_key(spec.ref), records::new_job(spec, WallTime{}, kTasks), ++stamp, 0});
+    std::vector<records::ClaimRow> there;
+    for (std::uint32_t t = 0; t < kTasks; ++t) {
+      RangeSet task;
+      task.add(t);
+      there.push_back({host((n * kTasks + t) * 7919 % machines), 1, task});
+    }
+    Value row = records::write_block({spec.ref, 0, n + 1}, 1, {}, there, 0, kTasks - 1);
+    const std::size_t size = row.json_size() + 1;
+    if (bytes + size > kSlotBytes) close();
+    bytes += size;
+    blocks.push_back(std::move(row));
+  }
+  close();
+  return out;
+}
+
+records::Snapshot snapshot(const std::vector<store::Row>& all) {
+  records::Snapshot s;
+  for (const store::Row& r : all) standby::apply_put(s, r);
+  return s;
+}
+
+/// What a takeover reads into.
+struct Rooms {
+  StillRuntime rt;
+  wrenusher::settings::Settings settings;
+  estimates::Estimator estimator;
+  store::Store service{rt, settings};
+  machines::Machines there{rt, estimator};
+  book::Book jobs{rt, there};
+  writer::Writer slots{rt, settings, service, jobs};
+  ledger::Takeover takeover{rt, service, jobs, slots};
+  Rooms() {
+    jobs.begin(2);
+    slots.begin(9);
+  }
+};
+
+void follow_one_write(benchmark::State& state) {
+  const auto all = rows(1000, static_cast<std::size_t>(state.range(0)));
+  std::vector<std::string> bytes;
+  std::vector<std::string> keys;
+  for (const auto& r : all) {
+    if (!records::parse_slot_key(r.key)) continue;
+    bytes.push_back(encode(r.value));
+    keys.push_back(r.key);
+  }
+  records::Snapshot s = snapshot(all);
+  std::size_t n = 0;
+  for (auto _ : state) {
+    const std::size_t i = n++ % keys.size();
+    standby::apply_put(s, {keys[i], *decode(bytes[i]), 1000000 + n, 0});
+  }
+  state.counters["bytes"] = static_cast<double>(bytes[0].size());
+}
+
+void read_records(benchmark::State& state) {
+  const auto all = rows(static_cast<std::size_t>(state.range(0)), static_cast<std::size_t>(state.range(1)));
+  std::vector<std::pair<store::Row, std::string>> wire;
+  for (const auto& r : all) wire.emplace_back(store::Row{r.key, {}, r.stamp, 0}, encode(r.value));
+  for (auto _ : state) {
+    Rooms rooms;
+    records::Snapshot s;
+    for (auto& [row, bytes] : wire) {
+      row.value = *decode(bytes);
+      standby::apply_put(s, row);
+    }
+    rooms.takeover.take(s);
+    benchmark::DoNotOptimize(rooms.jobs.loaded());
+  }
+}
+
+void take_copy(benchmark::State& state) {
+  const auto all = rows(static_cast<std::size_t>(state.range(0)), static_cast<std::size_t>(state.range(1)));
+  const std::size_t before = mallinfo2().uordblks;
+  const records::Snapshot s = snapshot(all);
+  state.counters["bytes_a_claim"] =
+      static_cast<double>(mallinfo2().uordblks - before) / static_cast<double>(state.range(1));
+  for (auto _ : state) {
+    Rooms rooms;
+    rooms.takeover.take(s);
+    benchmark::DoNotOptimize(rooms.jobs.loaded());
+  }
+}
+
+void conditions(benchmark::State& state) {
+  const auto all = rows(static_cast<std::size_t>(state.range(0)), static_cast<std::size_t>(state.range(1)));
+  const records::Snapshot s = snapshot(all);
+  std::size_t keys = 0;
+  for (auto _ : state) {
+    keys = standby::conditions_of(s).size();
+    benchmark::DoNotOptimize(keys);
+  }
+  state.counters["keys"] = static_cast<double>(keys);
+  state.counters["requests"] = static_cast<double>((keys + 63) / 64);
+}
+
+MachineHint hint(std::size_t n, std::uint64_t change) {
+  MachineHint m;
+  m.host = host(n);
+  m.addr = "10.1." + std::to_string(n / 250) + "." + std::to_string(n % 250) + ":9000";
+  m.flavor = "small";
+  m.site = "a";
+  m.tenure = 1;
+  for (std::uint64_t i = 0; i < 4; ++i)
+    m.images.push_back({"img-" + std::to_string((n + change + i) % 200), 2});
+  return m;
+}
+
+struct Told {
+  Instant now{from_seconds(1000)};
+  standby::Teller teller;
+  standby::Picture picture;
+  std::uint64_t change = 0;
+  std::size_t machines;
+  explicit Told(std::size_t n) : machines(n) {
+    teller.begin(3, 1, {}, {}, now);
+    for (std::size_t i = 0; i < n; ++i) teller.put(standby::to_row(hint(i, 0)), now);
+    for (const char* peer : {"one", "two"}) teller.heard(peer, 5, {}, now);
+    while (teller.open("one") + teller.open("two") > 0) beat();
+  }
+  std::vector<std::string> beat() {
+    now += millis(500);
+    std::vector<std::string> out;
+    for (const char* peer : {"one", "two"}) {
+      const Value v = teller.next(peer, now);
+      if (v.is_null()) continue;
+      out.push_back(encode(v));
+      teller.heard(peer, 5, {*v["n"].count()}, now);
+    }
+    return out;
+  }
+  void changed(std::size_t n) {
+    ++change;
+    for (std::size_t i = 0; i < n; ++i)
+      teller.put(standby::to_row(hint((change * n + i) * 7919 % machines, change)), now);
+  }
+};
+
+void tell(benchmark::State& state) {
+  Told t(static_cast<std::size_t>(state.range(0)));
+  std::size_t bytes = 0;
+  std::size_t beats = 0;
+  for (auto _ : state) {
+    t.changed(static_cast<std::size_t>(state.range(1)));
+    for (const auto& b : t.beat()) bytes += b.size();
+    ++beats;
+  }
+  state.counters["bytes"] = static_cast<double>(bytes) / static_cast<double>(beats * 2);
+}
+
+void heard(benchmark::State& state) {
+  Told t(static_cast<std::size_t>(state.range(0)));
+  std::vector<std::string> messages;
+  for (int i = 0; i < 20; ++i) {
+    t.changed(static_cast<std::size_t>(state.range(1)));
+    messages.push_back(t.beat().front());
+  }
+  const std::size_t before = mallinfo2().uordblks;
+  standby::Picture p;
+  for (std::size_t i = 0; i < t.machines; ++i) p.put(standby::to_row(hint(i, 0)), t.now, 3, 1);
+  state.counters["bytes_a_machine"] =
+      static_cast<double>(mallinfo2().uordblks - before) / static_cast<double>(t.machines);
+  std::uint64_t n = 1;
+  for (auto _ : state) {
+    const Value v = *decode(messages[n % messages.size()]);
+    ++n;
+    for (const Value& row : *v["rows"].list()) {
+      const Value::List& f = *row.list();
+      p.put({*f[0].text(), f[1], *f[2].count()}, t.now, 3, n);
+    }
+  }
+}
+
+BENCHMARK(follow_one_write)->Arg(10000)->Unit(benchmark::kMicrosecond);
+BENCHMARK(read_records)->Args({1000, 10000})->Args({10000, 100000})->Unit(benchmark::kMillisecond);
+BENCHMARK(take_copy)->Args({1000, 10000})->Args({10000, 100000})->Unit(benchmark::kMillisecond);
+BENCHMARK(conditions)->Args({1000, 10000})->Args({10000, 100000})->Unit(benchmark::kMillisecond);
+BENCHMARK(tell)
+    ->Args({1000, 10})
+    ->Args({10000, 10})
+    ->Args({1000, 100})
+    ->Args({10000, 100})
+    ->Unit(benchmark::kMicrosecond);
+BENCHMARK(heard)->Args({1000, 100})->Args({10000, 100})->Unit(benchmark::kMicrosecond);
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  spdlog::set_level(spdlog::level::off);
+  benchmark::Initialize(&argc, argv);
+  benchmark::RunSpecifiedBenchmarks();
+  return 0;
+}
--- a/src/ledger/hints.cpp
+++ b/src/ledger/hints.cpp
@@ -15,6 +15,8 @@
 constexpr Micros kTellQueuesEvery = from_seconds(2);
 /// Machines told at a time; the rest waits for the next.
 constexpr std::size_t kMostTold = 300;
+/// In the first moments of a term no place without the image is taken while one with it may still be heard.
+constexpr Micros kHeardWithin = millis(1200);
 
 }  // namespace
 
@@ -93,10 +95,26 @@
   for (const auto& [host, m] : inherited_) {
     estimator_.inherit_host(host, m.speed_seen, m.slowness);
     times_.awaits(host);
+    expect_images(m, true);
   }
+  // All that live are heard in about that time; a fetch takes longer.
+  rounds_.expect_images(&coming_images_, rt_.now() + kHeardWithin);
   failing_ = all->jobs;
 }
 
+/// A machine that has room and is not heard yet holds these images.
+void Ledger::expect_images(const MachineHint& h, bool comes) {
+  if (!h.room || h.quiet) return;
+  for (const auto& i : h.images) {
+    if (comes) {
+      ++coming_images_[i.bundle];
+    } else if (const auto it = coming_images_.find(i.bundle);
+               it != coming_images_.end() && --it->second == 0) {
+      coming_images_.erase(it);
+    }
+  }
+}
+
 /// A machine's first word in this term: what the last leader told of it holds until a report says otherwise.
 /// One that was never heard again comes to nothing by it.
 void Ledger::inherit(const WorkerReport& r) {
@@ -104,6 +122,7 @@
   if (it == inherited_.end()) return;
   const MachineHint h = std::move(it->second);
   inherited_.erase(it);
+  expect_images(h, false);
   if (h.flavor != r.flavor || h.addr != r.addr) return;
   Machine& m = machines_.at(r.host);
   std::vector<Machines::Held> held;
--- a/src/ledger/include/wrenusher/ledger/ledger.hpp
+++ b/src/ledger/include/wrenusher/ledger/ledger.hpp
@@ -78,6 +78,7 @@
   void tell_hints();
   void inherit(const WorkerReport& r);
   void inherit_failures();
+  void expect_images(const MachineHint& h, bool comes);
 
   void tick();
   void wake();
@@ -104,9 +105,10 @@
   bool woken_ = false;
   Instant last_round_{};
   TakeoverTimes times_;
-  std::map<std::string, MachineHint> inherited_;  ///< of machines not heard in this term yet
-  std::vector<JobHint> failing_;                  ///< until the records are there
-  std::map<std::string, HostReported> early_;     ///< each machine's newest word, likewise
+  std::map<std::string, MachineHint> inherited_;        ///< of machines not heard in this term yet
+  std::map<std::string, std::uint32_t> coming_images_;  ///< on how many of those with room, by bundle
+  std::vector<JobHint> failing_;                        ///< until the records are there
+  std::map<std::string, HostReported> early_;           ///< each machine's newest word, likewise
   Instant next_hints_{};
   Instant next_queue_hints_{};
   std::map<std::string, std::uint64_t> queues_told_;  ///< version of what was told
--- a/src/ledger/ledger.cpp
+++ b/src/ledger/ledger.cpp
@@ -73,6 +73,7 @@
   takeover_.stop();
   term_began_ = rt_.now();
   inherited_.clear();
+  coming_images_.clear();
   failing_.clear();
   early_.clear();
   queues_told_.clear();
@@ -234,7 +235,7 @@
 
 void Ledger::on_gone(const HostGone& g) {
   times_.gone(g.host);
-  inherited_.erase(g.host);
+  if (auto h = inherited_.extract(g.host)) expect_images(h.mapped(), false);
   early_.erase(g.host);
   if (!open()) return;
   const Machine* m = machines_.find(g.host);
--- a/src/rounds/include/wrenusher/rounds/rounds.hpp
+++ b/src/rounds/include/wrenusher/rounds/rounds.hpp
@@ -5,8 +5,10 @@
 // is short. Invariant: the board shows what book and machines would show anew (`disagreement` compares). It
 // may depend on base, settings, protocol, topology, mail, planner, estimates, book and machines.
 
+#include <map>
 #include <memory>
 #include <set>
+#include <string>
 #include <unordered_map>
 #include <vector>
 
@@ -38,6 +40,12 @@
   /// Something changed that a plan may use.
   void need() { needed_ = true; }
   void take_capacity(const CapacitySeen& c);
+  /// Until then machines may still be heard that hold these images and have room: no other place is taken for
+  /// a job that needs one. Counts by bundle, kept up by the caller.
+  void expect_images(const std::map<std::string, std::uint32_t>* held, Instant until) {
+    expected_ = held;
+    expected_until_ = until;
+  }
   /// Whether there is a reason to plan: news, or the time that passes without any.
   bool due() const;
   /// How many plans have been made.
@@ -97,6 +105,7 @@
   void hide(Ticket& t);
   bool zones_of(const Job& job, planner::PlanJob& p) const;
   bool layout_of(const Job& job, planner::PlanJob& p) const;
+  bool expects_image(const Job& job) const;
   bool near_image(Job& job);
   planner::Moment moment() const;
   void apply(const planner::Plan& plan);
@@ -120,6 +129,8 @@
   std::uint64_t generation_ = ~std::uint64_t{0};       ///< of the machines, as the board shows them
   const topology::Topology* topology_ = nullptr;       ///< likewise
   std::uint64_t state_ = 0;  ///< rises when other types are sought, gone or known, or domains differ
+  const std::map<std::string, std::uint32_t>* expected_ = nullptr;
+  Instant expected_until_{};
   bool needed_ = false;
   std::uint64_t news_seen_ = 0;  ///< of the book, by the last plan
   std::uint64_t plans_ = 0;
--- a/src/rounds/rounds.cpp
+++ b/src/rounds/rounds.cpp
@@ -259,7 +259,7 @@
       }
     }
     const bool patient = now - job.rec.accepted < t.patience && !t.sought.empty();
-    const bool near = near_image(job);
+    const bool near = expects_image(job) || near_image(job);
     bool pressed = false;
     if (patient && t.on_board) pressed = too_late(board_.standing(t.slot, now), t.patience);
     if (t.on_board && !t.unsettled && t.change == job.change && t.state == state_ &&
@@ -370,6 +370,10 @@
   return known;
 }
 
+bool Rounds::expects_image(const Job& job) const {
+  return expected_ != nullptr && rt_.now() < expected_until_ && expected_->contains(job.spec().bundle);
+}
+
 /// Whether a service that waits for places should have them where its image is: for a few seconds, if there
 /// is such a machine with other work on it that may be stopped. Its image can take minutes to fetch
 /// elsewhere.
