A starved leader hands over to a warm peer; the other standby stays warm under the next leader

Cause: a leader that moves a tenth of the time keeps its hold and is slow at everything. And a standby that knew as much as the new leader was called half warm for some seconds, until something new was told.

Change: a leader that stood still for more than half of the last 6 s names a warm peer and drops its hold, once in 5 minutes at the most. "Nothing new" from a leader counts as all there is, if it names this life of the peer.

--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -14,6 +14,9 @@
 constexpr Micros kReportDelay = from_seconds(1.5);
 /// With fewer machines than this nothing is told from how many are silent.
 constexpr std::size_t kFewHosts = 6;
+/// A node that stood still for more than this part of so much time is starved.
+constexpr double kStarved = 0.5;
+constexpr Micros kStarvedMemory = from_seconds(6);
 /// Workers asked for their word at a time. Whoever is short of processor gets the answers later and asks
 /// less.
 constexpr std::size_t kMostCalls = 24;
@@ -238,6 +241,12 @@
 
 void Fleet::tick() {
   const Instant now = rt_.now();
+  if (ticked_ != Instant{}) {
+    const double passed = to_seconds(now - ticked_);
+    const double still = std::max(0.0, passed - to_seconds(kTick) * 1.25) / passed;
+    const double weight = std::min(1.0, passed / to_seconds(kStarvedMemory));
+    starved_ += (still - starved_) * weight;
+  }
   if (now - ticked_ > kTick * 3 && ticked_ != Instant{}) {
     // This controller itself stood still or was starved: reports wait unread, and no machine is to blame.
     const Micros lost = now - ticked_ - kTick;
@@ -262,7 +271,7 @@
   if (awaited < kFewHosts || heard * 4 >= awaited) most_heard_ = now;
   const bool few = now > most_heard_ && now - most_heard_ < settings_.lease;
   const bool deaf = term_.leading && now - led_since_ > limit && (!hears || few);
-  hearing(Hearing{deaf, hears, !hosts_.empty()});
+  hearing(Hearing{deaf, hears, !hosts_.empty(), starved_ > kStarved});
   if (term_.leading && !deaf && !few) {
     look_at_domains(late);
     miss_called();
--- a/src/fleet/include/wrenusher/fleet/fleet.hpp
+++ b/src/fleet/include/wrenusher/fleet/fleet.hpp
@@ -74,6 +74,7 @@
   Instant heard_any_{};
   Instant led_since_{};
   Instant ticked_{};
+  double starved_ = 0;    ///< part of the time that this node stood still, of late
   Instant most_heard_{};  ///< when this leader last heard a fair part of its workers
   bool ever_heard_ = false;
   std::map<std::string, Host> hosts_;
--- a/src/mail/include/wrenusher/mail/mail.hpp
+++ b/src/mail/include/wrenusher/mail/mail.hpp
@@ -71,6 +71,7 @@
   bool deaf = false;
   bool hears_workers = false;
   bool had_workers = false;  ///< some reported in this term
+  bool starved = false;      ///< this node stood still for most of the last seconds
 };
 
 /// This node gives the lead away now. Empty: to whoever comes first.
@@ -199,7 +200,7 @@
   Micros first_start{-1};    ///< a report showed the first task that this term had claimed
   Micros last_machine{-1};   ///< nine in ten, and the last, of those that were known before and are heard
   Micros most_machines{-1};
-  Micros whole{-1};            ///< of every claim that the last term left it is known where it stands
+  Micros whole{-1};  ///< of every claim that the last term left it is known where it stands
   Micros told_after{};
   std::uint32_t machines = 0;  ///< heard
   std::uint32_t missing = 0;   ///< known before and not heard
--- a/src/membership/include/wrenusher/membership/leadership.hpp
+++ b/src/membership/include/wrenusher/membership/leadership.hpp
@@ -51,7 +51,7 @@
   void vacant();
   /// Candidates that go before this node.
   int before_me() const;
-  bool warmer_peer() const;
+  bool warm_peer() const;
   void cede(const char* why, const std::function<bool(const PeerNews&)>& fit);
   void campaign(std::uint64_t stamp);
   void abandon(std::uint64_t tenancy);
@@ -81,7 +81,7 @@
   std::uint64_t epoch_stamp_ = 0;                       ///< of the record that names it, while leading
   std::pair<topology::Edition, topology::Edition> complained_;
   Instant deferring_since_{};  ///< to a peer that has the topology in force; nobody has led since
-  Instant ceded_{};            ///< when the lead was last given to such a peer
+  Instant ceded_{};            ///< when the lead was last given to such a peer, or to a better placed one
   bool adopting_ = false;
   Instant next_adopt_{};
   bool leading_ = false;
@@ -102,6 +102,7 @@
   Instant deaf_since_{};
   bool deaf_ = false;
   bool had_workers_ = false;
+  bool starved_ = false;
 };
 
 }  // namespace wrenusher::membership
--- a/src/membership/leadership.cpp
+++ b/src/membership/leadership.cpp
@@ -163,6 +163,7 @@
   if (h.deaf && !deaf_) deaf_since_ = rt_.now();
   deaf_ = h.deaf;
   had_workers_ = h.had_workers;
+  starved_ = h.starved;
 }
 
 void Leadership::prove(Instant sent) {
@@ -196,6 +197,12 @@
       ceded_ = now;
       cede("a peer has the topology in force and this node has not",
            [this](const PeerNews& n) { return n.topology == force_; });
+    } else if (starved_ && (ceded_ == Instant{} || now - ceded_ > kCedeEvery) && warm_peer()) {
+      // Whatever takes its processor: another has as much as all of them have. Once in a while only, since it
+      // may be the work itself.
+      ceded_ = now;
+      cede("its share of the processor is gone",
+           [](const PeerNews& n) { return n.ready == Readiness::warm; });
     } else if (deaf_ && !settings_.peers.empty() &&
                (peer_hears || (!any_peer && had_workers_ && now - deaf_since_ > from_seconds(2)))) {
       // Workers cannot reach this node, or it is cut off from all but the state service: as long as it holds
@@ -232,7 +239,7 @@
       if (peers_.empty() && !settings_.peers.empty() && rt_.now() - started_ < kFirstWord) {
         // The peers have not had the time to say how warm they are.
         next_look_ = rt_.now() + kFirstWord / 2;
-      } else if (warmer_peer()) {
+      } else if (ready_ != Readiness::warm && warm_peer()) {
         leave(row->stamp);
       } else {
         campaign(row->stamp);
@@ -319,11 +326,11 @@
   }));
 }
 
-bool Leadership::warmer_peer() const {
-  return ready_ != Readiness::warm && std::any_of(peers_.begin(), peers_.end(), [&](const auto& p) {
-           const PeerNews& n = p.second.news;
-           return fresh(p.second) && n.store && !n.abstains && n.ready == Readiness::warm;
-         });
+bool Leadership::warm_peer() const {
+  return std::any_of(peers_.begin(), peers_.end(), [&](const auto& p) {
+    const PeerNews& n = p.second.news;
+    return fresh(p.second) && n.store && !n.abstains && n.ready == Readiness::warm;
+  });
 }
 
 /// Gives the lead away: to the warmest of those that are fit for it, or to whoever comes.
--- a/src/standby/hints.cpp
+++ b/src/standby/hints.cpp
@@ -2,6 +2,7 @@
 
 #include <xxhash.h>
 
+#include <algorithm>
 #include <cmath>
 
 namespace wrenusher::standby {
@@ -215,6 +216,12 @@
   return true;
 }
 
+std::size_t Picture::machines() const {
+  return static_cast<std::size_t>(std::count_if(rows_.begin(), rows_.end(), [](const auto& r) {
+    return r.first[0] == static_cast<char>(Kind::machine) && !r.second.row.value.is_null();
+  }));
+}
+
 void Picture::forget_before(std::uint64_t term, std::uint64_t beat) {
   std::erase_if(
       rows_, [&](const auto& r) { return std::pair(r.second.term, r.second.beat) < std::pair(term, beat); });
--- a/src/standby/include/wrenusher/standby/hints.hpp
+++ b/src/standby/include/wrenusher/standby/hints.hpp
@@ -44,6 +44,7 @@
   /// False when the row is not newer than what is known.
   bool put(Row row, Instant now, std::uint64_t term, std::uint64_t beat);
   const std::map<std::string, Known>& all() const { return rows_; }
+  std::size_t machines() const;
   /// Drops what was told before this message.
   void forget_before(std::uint64_t term, std::uint64_t beat);
   /// Drops rows told until then that say that something is gone.
--- a/src/standby/include/wrenusher/standby/teller.hpp
+++ b/src/standby/include/wrenusher/standby/teller.hpp
@@ -29,6 +29,8 @@
   Value next(const std::string& peer, Instant now);
   /// The peer, in its life `life`, has got these messages of ours.
   void heard(const std::string& peer, std::uint64_t life, const std::vector<std::uint64_t>& got, Instant now);
+  /// The peer, in its life `life`, has confirmed all there is.
+  bool even(const std::string& peer, std::uint64_t life) const;
   /// Rows that the peer has not confirmed.
   std::size_t open(const std::string& peer) const;
 
--- a/src/standby/standby.cpp
+++ b/src/standby/standby.cpp
@@ -57,7 +57,7 @@
           "standby",
           "this node is {state}: {jobs} jobs and {slots} values of the records, hints of {machines} machines",
           log::with("state", word(r)), log::with("jobs", copy_.jobs()), log::with("slots", copy_.slots()),
-          log::with("machines", picture_.all().size()));
+          log::with("machines", picture_.machines()));
     }
     if (r == Readiness::warm) cold_since_ = now;
   }
@@ -138,16 +138,15 @@
 
 void Standby::tell(const std::string& peer) {
   Value::List got;
-  if (const auto it = peers_.find(peer); it != peers_.end()) {
-    for (const std::uint64_t n : std::exchange(it->second.to_confirm, {})) got.emplace_back(n);
-  }
+  PeerState& p = peers_[peer];
+  for (const std::uint64_t n : std::exchange(p.to_confirm, {})) got.emplace_back(n);
   Value::Map out{{"life", life_}, {"got", std::move(got)}, {"told_by", term_.leading ? life_ : told_by_}};
   if (term_.leading) {
     if (Value hints = teller_.next(peer, rt_.now()); !hints.is_null()) {
       out.emplace_back("hints", std::move(hints));
-    } else if (teller_.open(peer) == 0) {
-      // Nothing new is news as well: what was told is all there is.
-      out.emplace_back("even", true);
+    } else if (teller_.even(peer, p.life)) {
+      // Nothing new is news as well: what that life of the peer knows is all there is.
+      out.emplace_back("even", p.life);
     }
   }
   aside(Aside{peer, std::move(out)});
@@ -172,7 +171,10 @@
     return;
   }
   if (!a.value["hints"].is_null()) take_hints(a.value["hints"], p);
-  if (a.value["even"].boolean().value_or(false) && told_by_ == p.life) told_at_ = rt_.now();
+  if (a.value["even"].count() == life_) {
+    told_by_ = p.life;
+    told_at_ = rt_.now();
+  }
 }
 
 void Standby::take_hints(const Value& v, PeerState& from) {
--- a/src/standby/teller.cpp
+++ b/src/standby/teller.cpp
@@ -126,6 +126,12 @@
   known_.forget_gone(now);
 }
 
+bool Teller::even(const std::string& peer, std::uint64_t life) const {
+  const auto it = peers_.find(peer);
+  return it != peers_.end() && it->second.life == life && !it->second.silent && it->second.pending.empty() &&
+         it->second.flying.empty();
+}
+
 std::size_t Teller::open(const std::string& peer) const {
   const auto it = peers_.find(peer);
   if (it == peers_.end()) return 0;
--- a/tests/takeover_test.cpp
+++ b/tests/takeover_test.cpp
@@ -367,6 +367,35 @@
   EXPECT_TRUE(w.checker.broken().empty()) << notes(w);
 }
 
+TEST(Takeover, ALeaderThatIsStarvedOfItsProcessorHandsOver) {
+  World w(45);
+  load(w, 90);
+  w.run(from_seconds(50));
+  const int leader = w.leader();
+  ASSERT_GE(leader, 0);
+  // It moves for a tenth of a second in each second: enough to keep its hold, and to be slow at everything.
+  for (int k = 0; k < 25; ++k) w.at(from_seconds(k), [&w, leader] { w.stall(leader, millis(900)); });
+  EXPECT_LE(until(w, from_seconds(25), [&] { return w.leader() >= 0 && w.leader() != leader; }),
+            from_seconds(14));
+  EXPECT_NE(w.leader(), leader);
+  w.run(from_seconds(400));
+  EXPECT_TRUE(w.checker.broken().empty()) << notes(w);
+  EXPECT_EQ(w.live(), 0U);
+}
+
+TEST(Takeover, TheOtherStandbyStaysWarmUnderTheNextLeader) {
+  // One that knew as much as the new leader was called half warm until something new was told.
+  World w(47);
+  load(w, 30);
+  w.run(from_seconds(70));
+  const int leader = w.leader();
+  ASSERT_GE(leader, 0);
+  w.crash(leader, from_seconds(60));
+  until(w, from_seconds(10), [&] { return w.leader() >= 0; });
+  w.run(from_seconds(2));
+  EXPECT_EQ(w.ready(3 - leader - w.leader()), Readiness::warm);
+}
+
 TEST(Takeover, AColderCandidateGoesWhenTheWarmestDoesNot) {
   World w(35);
   load(w, 60);
