--- a/bench/plan_bench.cpp
+++ b/bench/plan_bench.cpp
@@ -19,6 +19,7 @@
 #include <chrono>
 #include <random>
 
+#include "still_runtime.hpp"
 #include "wrenusher/rounds/rounds.hpp"
 
 namespace {
@@ -31,6 +32,7 @@
 namespace records = wrenusher::records;
 namespace rounds = wrenusher::rounds;
 namespace topology = wrenusher::topology;
+using wrenusher::StillRuntime;
 
 constexpr int kImages = 200;
 constexpr std::uint32_t kTasks = 50;
@@ -39,20 +41,6 @@
 constexpr std::uint32_t kRunning = 200;
 constexpr std::size_t kRack = 40;
 
-class StillRuntime : public Runtime {
- public:
-  Instant clock{from_seconds(1000)};
-  Instant now() const override { return clock; }
-  WallTime wall() const override { return WallTime{clock.time_since_epoch() + from_seconds(1e6)}; }
-  std::mt19937_64& random() override { return random_; }
-  void post(std::function<void()>) override {}
-  void after(Micros, std::function<void()>) override {}
-  void fetch(const Endpoint&, Request, Micros, Done) override {}
-
- private:
-  std::mt19937_64 random_{7};
-};
-
 /// A leader's rooms in the middle of a burst.
 struct Burst {
   StillRuntime rt;
--- a/bench/standby_bench.cpp
+++ b/bench/standby_bench.cpp
@@ -18,6 +18,7 @@
 #include <memory>
 #include <random>
 
+#include "still_runtime.hpp"
 #include "wrenusher/ledger/takeover.hpp"
 #include "wrenusher/standby/standby.hpp"
 
@@ -34,23 +35,11 @@
 namespace standby = wrenusher::standby;
 namespace store = wrenusher::store;
 namespace writer = wrenusher::writer;
+using wrenusher::StillRuntime;
 
 constexpr std::uint32_t kTasks = 50;
 constexpr std::size_t kSlotBytes = 16 * 1024;
 
-class StillRuntime : public Runtime {
- public:
-  Instant now() const override { return Instant{from_seconds(1000)}; }
-  WallTime wall() const override { return WallTime{from_seconds(1e6)}; }
-  std::mt19937_64& random() override { return random_; }
-  void post(std::function<void()>) override {}
-  void after(Micros, std::function<void()>) override {}
-  void fetch(const Endpoint&, Request, Micros, Done) override {}
-
- private:
-  std::mt19937_64 random_{7};
-};
-
 std::string host(std::size_t n) {
   return "m-" + std::to_string(100000 + n);
 }
--- a/tests/takeover_test.cpp
+++ b/tests/takeover_test.cpp
@@ -3,7 +3,7 @@
 
 #include <gtest/gtest.h>
 
-#include "wrenusher/lab/world.hpp"
+#include "judged.hpp"
 
 using namespace wrenusher::lab;
 using namespace wrenusher::protocol;
@@ -11,12 +11,6 @@
 
 namespace {
 
-std::string notes(const World& w) {
-  std::string out;
-  for (const std::string& n : w.checker.notes()) out += n + "\n";
-  return out;
-}
-
 std::string name_of(int controller) {
   return "c" + std::to_string(controller);
 }
