Read-through of the warm standby: one question whether anybody stands by, and what nothing uses is gone

Cause: the read-through found the same condition in four places, a second look-up of each heir, two ways to take up a new job, two messages handled alike, a count that nothing read and a line that the next one repeats.

Change: Settings::stands_by, Ledger::take_up, Standby::tell_all; Ledger::inherit says whether there was something to inherit.

--- a/src/ledger/hints.cpp
+++ b/src/ledger/hints.cpp
@@ -46,7 +46,7 @@
 /// What has changed since it was last told.
 void Ledger::tell_hints() {
   const Instant now = rt_.now();
-  if (!settings_.tunables.standby || settings_.peers.empty() || now < next_hints_) return;
+  if (!settings_.stands_by() || now < next_hints_) return;
   next_hints_ = now + kTellEvery;
   auto out = std::make_shared<LedgerHints>();
   for (Machine* m : machines_.take_untold(kMostTold)) {
@@ -117,13 +117,12 @@
 
 /// A machine's first word in this term: what the last leader told of it holds until a report says otherwise.
 /// One that was never heard again comes to nothing by it.
-void Ledger::inherit(const WorkerReport& r) {
-  const auto it = inherited_.find(r.host);
-  if (it == inherited_.end()) return;
-  const MachineHint h = std::move(it->second);
-  inherited_.erase(it);
+bool Ledger::inherit(const WorkerReport& r) {
+  const auto found = inherited_.extract(r.host);
+  if (!found) return false;
+  const MachineHint& h = found.mapped();
   expect_images(h, false);
-  if (h.flavor != r.flavor || h.addr != r.addr) return;
+  if (h.flavor != r.flavor || h.addr != r.addr) return false;
   Machine& m = machines_.at(r.host);
   std::vector<Machines::Held> held;
   for (const auto& i : h.images) held.push_back({i.bundle, i.gb, 0});
@@ -135,6 +134,7 @@
   }
   machines_.inherit(m, held);
   for (const auto& e : h.failures) m.errors[e.ref] = rt_.now() - e.ago;
+  return true;
 }
 
 /// Jobs that failed before go on as they were: not tried again at once on the machines they failed on.
--- a/src/ledger/include/wrenusher/ledger/ledger.hpp
+++ b/src/ledger/include/wrenusher/ledger/ledger.hpp
@@ -73,12 +73,13 @@
   void look_for_missed(const std::string& from, std::uint64_t epoch);
   void follow(std::uint64_t from, std::uint64_t epoch);
   void take_news(const FollowReply& f);
+  void take_up(const Row& row);
   void refresh(const std::string& ref);
   void withdraw(Job& job);
 
   MachineHint hint_of(const Machine& m) const;
   void tell_hints();
-  void inherit(const WorkerReport& r);
+  bool inherit(const WorkerReport& r);
   void inherit_failures();
   void expect_images(const MachineHint& h, bool comes);
 
--- a/src/ledger/include/wrenusher/ledger/takeover_times.hpp
+++ b/src/ledger/include/wrenusher/ledger/takeover_times.hpp
@@ -33,7 +33,6 @@
   Instant began_{};
   TakenOver told_;
   std::set<std::string> awaited_;
-  std::size_t expected_ = 0;
   std::vector<Micros> times_;  ///< of the machines heard that were awaited
 };
 
--- a/src/ledger/ledger.cpp
+++ b/src/ledger/ledger.cpp
@@ -62,7 +62,7 @@
   if (!term_.leading) return;
   times_.begin(t, rt_.now());
   // A standby's copy of the records comes by itself, or the word that there is none.
-  if (!settings_.tunables.standby || settings_.peers.empty()) read_records();
+  if (!settings_.stands_by()) read_records();
 }
 
 /// Nothing is known of the records.
@@ -105,8 +105,7 @@
       const auto ref = records::parse_job_key(row.key);
       // One that has ended since it was read comes back for a moment: its claims and its end fail by its
       // root.
-      if (ref && book_.find(*ref) == nullptr && accept_root(book_, row))
-        log::debug("job_new", "job {job} is new", log::with("job", *ref));
+      if (ref && book_.find(*ref) == nullptr) take_up(row);
     }
     if (page.result == Read::Result::ok && !page.truncated) return;
     rt_.after(kMissedPause, [this, last, epoch] {
@@ -152,12 +151,18 @@
   });
 }
 
+/// A job that is not known here yet.
+void Ledger::take_up(const Row& row) {
+  if (accept_root(book_, row))
+    log::debug("job_new", "job {job} is new", log::with("job", *records::parse_job_key(row.key)));
+}
+
 void Ledger::take_news(const FollowReply& f) {
   for (const Row& row : f.puts) {
     const auto ref = records::parse_job_key(row.key);
     Job* job = ref ? book_.find(*ref) : nullptr;
     if (job == nullptr) {
-      if (accept_root(book_, row)) log::debug("job_new", "job {job} is new", log::with("job", *ref));
+      take_up(row);
     } else if (row.stamp > job->stamp) {
       // Only users' cancellations change this record while its job lives.
       job->stamp = row.stamp;
@@ -218,8 +223,7 @@
   // The worker has given up waiting for the last answer; orders in it would come too late to be settled by
   // this report.
   held_.void_answer(r.host);
-  const bool heir = inherited_.contains(r.host);
-  if (heir) inherit(r);
+  const bool heir = inherit(r);
   const std::uint64_t shown = reports_.shown();
   const reports::Reports::Taken taken = reports_.take(r, in.current, in.settled);
   // What the report did not show to be under way is not.
--- a/src/provisioner/provisioner.cpp
+++ b/src/provisioner/provisioner.cpp
@@ -392,7 +392,7 @@
 }
 
 void Provisioner::tell_hints() {
-  if (!settings_.tunables.standby || settings_.peers.empty()) return;
+  if (!settings_.stands_by()) return;
   auto out = std::make_shared<RentalHints>();
   const Instant now = rt_.now();
   for (const auto& [host, m] : machines_) {
--- a/src/settings/include/wrenusher/settings/settings.hpp
+++ b/src/settings/include/wrenusher/settings/settings.hpp
@@ -71,6 +71,8 @@
   Tunables tunables;
 
   const Team* team(const std::string& name) const;
+  /// Somebody follows who leads, and may take over with what the leader knows.
+  bool stands_by() const { return tunables.standby && !peers.empty(); }
 };
 
 /// A mistake in a settings file; what() is one line that names the field.
--- a/src/standby/include/wrenusher/standby/standby.hpp
+++ b/src/standby/include/wrenusher/standby/standby.hpp
@@ -45,11 +45,11 @@
     std::uint64_t told_by = 0;              ///< the leader's life that told it all there was
     std::vector<std::uint64_t> to_confirm;  ///< messages that came from it
   };
-  bool on() const { return settings_.tunables.standby && !settings_.peers.empty(); }
   void tick();
   void lead();
   void take_hints(const Value& v, PeerState& from);
   void tell(const std::string& peer);
+  void tell_all();
 
   Runtime& rt_;
   const Settings& settings_;
--- a/src/standby/standby.cpp
+++ b/src/standby/standby.cpp
@@ -34,7 +34,7 @@
       cold_since_(rt.now()) {}
 
 void Standby::start() {
-  if (!on()) return;
+  if (!settings_.stands_by()) return;
   copy_.begin();
   tick();
 }
@@ -59,7 +59,6 @@
           log::with("state", word(r)), log::with("jobs", copy_.jobs()), log::with("slots", copy_.slots()),
           log::with("machines", picture_.machines()));
     }
-    if (r == Readiness::warm) cold_since_ = now;
   }
   if (r == Readiness::warm) {
     cold_since_ = now;
@@ -77,7 +76,7 @@
 // ---------------------------------------------------------------- terms
 
 void Standby::on_term(const TermChanged& t) {
-  if (!on()) return;
+  if (!settings_.stands_by()) return;
   const bool begins = t.leading && !(term_.leading && term_.epoch == t.epoch);
   const bool ends = term_.leading && !t.leading;
   term_ = t;
@@ -127,12 +126,16 @@
 // ---------------------------------------------------------------- what is told
 
 void Standby::on_beat(const BeatSent&) {
-  if (!on()) return;
-  for (const PeerAddress& p : settings_.peers) tell(p.name);
+  tell_all();
 }
 
+/// Its last words, before it is asked no more.
 void Standby::on_ceding(const Ceding&) {
-  if (!on()) return;
+  tell_all();
+}
+
+void Standby::tell_all() {
+  if (!settings_.stands_by()) return;
   for (const PeerAddress& p : settings_.peers) tell(p.name);
 }
 
@@ -153,7 +156,7 @@
 }
 
 void Standby::on_aside(const Aside& a) {
-  if (!on()) return;
+  if (!settings_.stands_by()) return;
   PeerState& p = peers_[a.peer];
   const auto life = a.value["life"].count();
   if (!life) return;
