--- a/lab/sim/sim_wires.cpp
+++ b/lab/sim/sim_wires.cpp
@@ -84,18 +84,23 @@
   at(timeout, [call, sent] { call->settle({false, sent, {}}); });
   if (!sent) return;
   carry(from, name, [this, call, from, to, name, request = std::move(request)] {
+    const std::size_t most = request.most;
     const auto h = handlers_.find(to);
     if (h == handlers_.end()) {
       call->settle({false, true, {}});
       return;
     }
     const bool lose = pick(kLostAnswer) == 0;
-    h->second(from, request, [this, call, from, name, lose](Response r) {
+    h->second(from, request, [this, call, from, name, lose, most](Response r) {
       if (lose) {  // executed, but the answer never comes
         at(delay(), [call] { call->settle({false, true, {}}); });
         return;
       }
-      carry(name, from, [call, r = std::move(r)] { call->settle({true, true, r}); });
+      const bool too_large = most > 0 && r.body.size() > most;
+      if (too_large) r = {};
+      carry(name, from, [call, too_large, r = std::move(r)] {
+        call->settle({!too_large, true, r, too_large});
+      });
     });
   });
 }
--- a/src/base/include/wrenusher/base/runtime.hpp
+++ b/src/base/include/wrenusher/base/runtime.hpp
@@ -21,7 +21,8 @@
   std::string method;
   std::string target;
   std::string body;
-  bool once = false;  ///< nothing else is to be asked there soon: its connection is not kept
+  bool once = false;     ///< nothing else is to be asked there soon: its connection is not kept
+  std::size_t most = 0;  ///< an answer with a larger body is not taken; 0: any is
 };
 
 struct Response {
@@ -35,6 +36,7 @@
   bool answered = false;  ///< a whole response came
   bool sent = true;       ///< false: the request certainly never reached the other side
   Response response;
+  bool too_large = false;  ///< not answered, since the answer was more than was asked for
 };
 
 using Answer = std::function<void(Response)>;
--- a/src/base/include/wrenusher/base/value.hpp
+++ b/src/base/include/wrenusher/base/value.hpp
@@ -41,6 +41,7 @@
   bool is_null() const { return std::holds_alternative<std::nullptr_t>(data_); }
   const std::string* text() const { return std::get_if<std::string>(&data_); }
   const List* list() const { return std::get_if<List>(&data_); }
+  List* list() { return std::get_if<List>(&data_); }
   const Map* map() const { return std::get_if<Map>(&data_); }
   std::optional<bool> boolean() const;
   /// Any finite number, whatever its width on the wire.
@@ -50,6 +51,8 @@
 
   /// The field of a map; null when absent or when this is no map.
   const Value& operator[](std::string_view key) const;
+  /// Moves the field of a map out; null is left in its place.
+  Value take(std::string_view key);
   /// Length of the value written as JSON, in which the state service counts its limits.
   std::size_t json_size() const;
 
--- a/src/base/value.cpp
+++ b/src/base/value.cpp
@@ -242,6 +242,15 @@
   return kNull;
 }
 
+Value Value::take(std::string_view key) {
+  if (Map* m = std::get_if<Map>(&data_)) {
+    for (Field& f : *m) {
+      if (f.first == key) return std::exchange(f.second, Value());
+    }
+  }
+  return {};
+}
+
 std::size_t Value::json_size() const {
   struct Sizer {
     std::size_t operator()(std::nullptr_t) const { return 4; }
--- a/src/ledger/ledger.cpp
+++ b/src/ledger/ledger.cpp
@@ -135,7 +135,7 @@
   store_.follow("job/", from, kFollowWait, Store::Urgent::hold, [this, from, epoch](const FollowReply& f) {
     if (!open_in(epoch)) return;
     std::uint64_t next = from;
-    if (f.result == FollowReply::Result::too_old) {
+    if (f.result == FollowReply::Result::too_old || f.result == FollowReply::Result::too_large) {
       log::warn("changes_missed", "changes were missed: reading all live jobs again");
       begin();
       read_records();
--- a/src/net/net.cpp
+++ b/src/net/net.cpp
@@ -333,6 +333,7 @@
   http_parser parser{};
   bool connected = false;
   bool closing = false;
+  bool too_large = false;
   std::shared_ptr<Pool::Call> call;  ///< null while idle
   Response response;
   Instant idle_since{};
@@ -358,6 +359,7 @@
     Outcome out;
     out.answered = answered;
     out.sent = connected;
+    out.too_large = too_large;
     if (answered) out.response = std::move(response);
     response = {};
     rt->post([c, out = std::move(out)]() mutable { c->done(std::move(out)); });
@@ -387,6 +389,12 @@
     write_bytes(&tcp, std::move(out));
   }
 
+  /// Whether a body of so many bytes is wanted. What is not is never held: the connection ends instead.
+  bool takes(std::uint64_t bytes) {
+    too_large = call && call->request.most > 0 && bytes > call->request.most;
+    return !too_large;
+  }
+
   static void on_read(uv_stream_t* stream, ssize_t n, const uv_buf_t* buf) {
     auto* self = static_cast<Outbound*>(stream->data);
     if (n == 0 || self->closing) return;
@@ -411,8 +419,14 @@
     static const http_parser_settings s = [] {
       http_parser_settings x;
       http_parser_settings_init(&x);
+      x.on_headers_complete = [](http_parser* p) {
+        const bool told = p->content_length != ULLONG_MAX;
+        return told && !static_cast<Outbound*>(p->data)->takes(p->content_length) ? -1 : 0;
+      };
       x.on_body = [](http_parser* p, const char* at, std::size_t n) {
-        static_cast<Outbound*>(p->data)->response.body.append(at, n);
+        auto* self = static_cast<Outbound*>(p->data);
+        if (!self->takes(self->response.body.size() + n)) return 1;
+        self->response.body.append(at, n);
         return 0;
       };
       x.on_message_complete = [](http_parser* p) {
--- a/src/standby/copy.cpp
+++ b/src/standby/copy.cpp
@@ -138,8 +138,9 @@
 /// Brings a part up to what a follow brought; false, and the copy is thrown away, when it does not fit.
 bool Copy::take(Part& p, const FollowReply& f) {
   if (f.result == FollowReply::Result::failed) return true;
-  if (f.result == FollowReply::Result::too_old) {
-    doubt("the state service has the changes no more");
+  if (f.result == FollowReply::Result::too_old || f.result == FollowReply::Result::too_large) {
+    doubt(f.result == FollowReply::Result::too_old ? "the state service has the changes no more"
+                                                   : "too much has changed since it was last followed");
     return false;
   }
   // A service that began anew counts from an earlier revision, or tells changes that nobody asked for.
--- a/src/store/include/wrenusher/store/store.hpp
+++ b/src/store/include/wrenusher/store/store.hpp
@@ -61,7 +61,12 @@
 };
 
 struct FollowReply {
-  enum class Result { ok, too_old, failed };
+  enum class Result {
+    ok,
+    too_old,    ///< the service has these changes no more
+    too_large,  ///< they are more than is taken at once: better to read anew, by pages
+    failed
+  };
   Result result = Result::failed;
   std::uint64_t revision = 0;
   std::vector<Row> puts;
@@ -96,8 +101,8 @@
 
 class Store {
  public:
-  /// Keep the hold; schedule; users; what is only taken from a pace that nobody else wants at present. Users'
-  /// calls are refused at once when too many wait.
+  /// Keep the hold; schedule; users; what is only taken from a pace that nobody else wants at present, or
+  /// once a second where somebody always does. Users' calls are refused at once when too many wait.
   enum class Urgent { hold, schedule, user, spare };
 
   Store(Runtime& rt, const Settings& settings);
@@ -125,6 +130,7 @@
   struct Queued {
     double writes;
     std::function<void()> send;
+    Instant since;
   };
   void submit(Urgent urgent, double writes, std::function<void()> send, std::function<void()> refuse);
   void pump();
--- a/src/store/store.cpp
+++ b/src/store/store.cpp
@@ -14,15 +14,22 @@
 /// Users' calls beyond this many waiting ones are refused at once.
 constexpr std::size_t kMostWaiting = 64;
 constexpr double kLeaderShare = 0.7;
+/// An answer to a follow holds every change since it was asked from, and the service sets no limit: after a
+/// pause of a minute it was 30 MB here, ten times as much once decoded, and the node ended for memory.
+constexpr std::size_t kMostFollowed = 2 * 1024 * 1024;
+/// What only takes what is spare takes its turn all the same once it has waited for so long: a storm of
+/// users' calls leaves nothing over, and what follows the records would have ever more to catch up with.
+constexpr Micros kSpareWaits = from_seconds(1);
 /// Part of the tokens kept back from calls that only take what is spare.
 constexpr double kSpare = 0.5;
 
-Row read_row(const Value& v, const char* key_field) {
+/// Its value is moved out of the answer: a copy would double what a large one takes.
+Row read_row(Value& v, const char* key_field) {
   Row r;
   if (const std::string* k = v[key_field].text()) r.key = *k;
-  r.value = v["value"];
   r.stamp = v["stamp"].count().value_or(0);
   r.tenancy = v["tenancy"].count().value_or(0);
+  r.value = v.take("value");
   return r;
 }
 
@@ -104,7 +111,7 @@
     rt_.post(std::move(refuse));
     return;
   }
-  queue.push_back({writes, std::move(send)});
+  queue.push_back({writes, std::move(send), now});
   pump();
 }
 
@@ -119,6 +126,7 @@
 
 /// Null when nothing waits.
 std::deque<Store::Queued>* Store::next_queue() {
+  if (!spare_queue_.empty() && rt_.now() - spare_queue_.front().since >= kSpareWaits) return &spare_queue_;
   // In turn, so that neither a storm of polls nor a long commit keeps the others out.
   if (!user_queue_.empty() && (queue_.empty() || users_turn_)) return &user_queue_;
   if (!queue_.empty()) return &queue_;
@@ -132,7 +140,8 @@
     const Instant now = rt_.now();
     const Queued& q = queue.front();
     // What is spare is what half a second's worth is left of, whoever comes next.
-    const bool busy = &queue == &spare_queue_ && requests_.tokens(now) < requests_.rate() * kSpare;
+    const bool busy = &queue == &spare_queue_ && now - q.since < kSpareWaits &&
+                      requests_.tokens(now) < requests_.rate() * kSpare;
     const bool wait = now < backoff_until_ || busy || !requests_.take(1, now);
     if (!wait && q.writes > 0 && !writes_.take(q.writes, now)) {
       requests_.force(-1, now);
@@ -160,7 +169,7 @@
         call({"GET", "/store/" + key, {}}, kTimeout, [done](Outcome o) {
           Read r;
           if (o.answered && (o.response.status == 200 || o.response.status == 404)) {
-            if (const auto v = decode(o.response.body); v && v->map() != nullptr) {
+            if (auto v = decode(o.response.body); v && v->map() != nullptr) {
               r.result = Read::Result::ok;
               r.revision = revision_of(*v);
               if (o.response.status == 200) r.rows.push_back(read_row(*v, "k"));
@@ -183,11 +192,14 @@
         call({"GET", target, {}}, kTimeout, [done](Outcome o) {
           Read r;
           if (o.answered && o.response.status == 200) {
-            if (const auto v = decode(o.response.body); v && (*v)["rows"].list() != nullptr) {
+            auto v = decode(o.response.body);
+            o.response.body = {};
+            if (v && (*v)["rows"].list() != nullptr) {
               r.result = Read::Result::ok;
               r.revision = revision_of(*v);
               r.truncated = (*v)["truncated"].boolean().value_or(false);
-              for (const Value& row : *(*v)["rows"].list()) r.rows.push_back(read_row(row, "k"));
+              Value rows = v->take("rows");
+              for (Value& row : *rows.list()) r.rows.push_back(read_row(row, "k"));
             }
           }
           done(std::move(r));
@@ -300,14 +312,18 @@
                              "&hold_ms=" + std::to_string(wait.count() / 1000);
   submit(urgent, 0,
          [this, target, wait, done] {
-           call({"GET", target, {}}, wait + kTimeout, [done](Outcome o) {
+           call({"GET", target, {}, false, kMostFollowed}, wait + kTimeout, [done](Outcome o) {
              FollowReply f;
              if (o.answered && o.response.status == 410) f.result = FollowReply::Result::too_old;
+             if (o.too_large) f.result = FollowReply::Result::too_large;
              if (o.answered && o.response.status == 200) {
-               if (const auto v = decode(o.response.body); v && (*v)["events"].list() != nullptr) {
+               auto v = decode(o.response.body);
+               o.response.body = {};
+               if (v && (*v)["events"].list() != nullptr) {
                  f.result = FollowReply::Result::ok;
                  f.revision = revision_of(*v);
-                 for (const Value& e : *(*v)["events"].list()) {
+                 Value events = v->take("events");
+                 for (Value& e : *events.list()) {
                    if (e["put"].text() != nullptr) {
                      f.puts.push_back(read_row(e, "put"));
                    } else if (const std::string* gone = e["delete"].text()) {
--- a/tests/standby_test.cpp
+++ b/tests/standby_test.cpp
@@ -24,6 +24,7 @@
   explicit Node(SimWires& wires, StateService& state) : wires_(wires), state_(state) {}
   /// Changes what a follow has brought, as a flawed service or client would.
   std::function<void(Value::Map& reply)> tamper;
+  std::size_t largest = 0;  ///< body of an answer that was taken
 
   Instant now() const override { return wires_.now(); }
   WallTime wall() const override { return WallTime{wires_.now().time_since_epoch()}; }
@@ -38,13 +39,16 @@
     };
     wires_.at(timeout, [settle] { settle({false, true, {}}); });
     wires_.at(millis(2), [this, request, settle, follow] {
-      state_.serve("c0", request, [this, settle, follow](Response r) {
+      state_.serve("c0", request, [this, request, settle, follow](Response r) {
         if (follow && tamper && r.status == 200) {
           Value::Map reply = *decode(r.body)->map();
           tamper(reply);
           r.body = encode(Value(std::move(reply)));
         }
-        wires_.at(millis(2), [settle, r] { settle({true, true, r}); });
+        const bool too_large = request.most > 0 && r.body.size() > request.most;
+        if (too_large) r = {};
+        largest = std::max(largest, r.body.size());
+        wires_.at(millis(2), [settle, r, too_large] { settle({!too_large, true, r, too_large}); });
       });
     });
   }
@@ -195,6 +199,49 @@
   EXPECT_TRUE(c.copy.whole());
 }
 
+// A follower that could not follow for a while asked for all changes since and got them in one answer of some
+// 30 MB: it ended for memory, and the one after it too.
+TEST(Copy, ThatFellFarBehindIsReadAnewByPages) {
+  Cell c;
+  c.commit({c.job(1), c.slot(0, {1}, "m-1")});
+  c.copy.begin();
+  c.run(5);
+  ASSERT_TRUE(c.copy.whole());
+  c.state.refuse("c0", true);
+  std::vector<int> many(300, 1);
+  for (int i = 0; i < 400; ++i) {
+    c.commit({c.slot(7, many, "m-1")});
+    c.run(0.03);
+  }
+  c.commit({c.slot(7, {1}, "m-2")});
+  c.state.refuse("c0", false);
+  c.run(12);
+  EXPECT_TRUE(c.copy.whole());
+  EXPECT_LT(c.node.largest, 2U * 1024 * 1024);
+  const auto got = c.hand_over();
+  ASSERT_TRUE(got);
+  EXPECT_EQ(picture(*got), picture(c.truth()));
+}
+
+// In a storm of users' calls nothing is ever left over, and what only takes what is spare was never sent.
+TEST(Copy, IsFollowedThroughAStormOfUsersCalls) {
+  Cell c;
+  c.commit({c.job(1)});
+  c.copy.begin();
+  c.run(5);
+  ASSERT_TRUE(c.copy.whole());
+  std::function<void(const store::Read&)> again = [&](const store::Read&) {
+    c.store.get("job/none", store::Store::Urgent::user, again);
+  };
+  for (int i = 0; i < 40; ++i) again({});
+  for (int i = 0; i < 60; ++i) {
+    c.commit({c.job(2 + i)});
+    c.run(0.5);
+    EXPECT_TRUE(c.copy.whole()) << i;
+  }
+  EXPECT_GE(c.copy.jobs(), 55U);
+}
+
 TEST(Copy, OfAServiceThatWentBackToAnEarlierRevisionIsThrownAway) {
   // A follow that goes on over a restart of the state service would take old changes for new ones.
   Cell c;
