Deaf machines, late copies, a leader alone with its workers, lives that begin anew: told apart and mended

Change: a worker's words are ordered by token first; a lower count is asked for by a call, and a machine that began anew goes back; Heed tells by a machine's own reports that answers do not reach it, and a leader whose answers reach nobody from that; only new words count as hearing; heartbeats carry their sender's life and count, and a peer is there only by its answers; a leader that reaches nobody but its workers lets them go after a third of cancel_s, and the next one calls them over by hints or by the cloud's list; nothing acts on the cloud once certainty has ended; reports of before a term adopt nothing.

--- a/lab/live/live_lab.cpp
+++ b/lab/live/live_lab.cpp
@@ -373,7 +373,7 @@
       checker_.answered_submit(rt_.now(), *(*body)["ref"].text(), o.response.status);
   } else if (r.target.ends_with("/withdraw")) {
     checker_.answered_withdraw(rt_.now(), r.target.substr(13, r.target.size() - 22), o.response.status,
-                               state);
+                               state, asked);
   } else if (r.target.size() > 13) {
     checker_.answered_poll(rt_.now(), r.target.substr(13), o.response.status, state, asked);
   }
--- a/lab/models/include/wrenusher/lab/checker.hpp
+++ b/lab/models/include/wrenusher/lab/checker.hpp
@@ -2,6 +2,7 @@
 // Watches a simulated day and names every rule of the protocol that is broken.
 
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -23,9 +24,14 @@
       : settings_(settings), topology_(std::move(topology)) {}
 
   void submitted(const JobSpec& spec) { specs_.emplace(spec.ref, spec); }
+  /// The job can't be served, whatever is done: it fails wherever it is put.
+  void hopeless(const std::string& ref) { jobs_[ref].hopeless = true; }
+  /// Its user has all the answers it wants.
+  void stopped_asking(const std::string& ref) { jobs_[ref].asks = false; }
   void answered_submit(Instant now, const std::string& ref, int status);
   void asked_withdraw(const std::string& ref) { asked_.insert(ref); }
-  void answered_withdraw(Instant now, const std::string& ref, int status, const std::string& state);
+  void answered_withdraw(Instant now, const std::string& ref, int status, const std::string& state,
+                         Instant asked);
   /// `asked`: when the question went out. An answer that was on its way while another one told of the end is
   /// not older than what its node had told.
   void answered_poll(Instant now, const std::string& ref, int status, const std::string& state,
@@ -47,6 +53,37 @@
   /// To be called now and then: finds what lasts too long.
   void look(Instant now);
 
+  // The operators' addition to the rules.
+  /// Nothing goes wrong any more from now on: each job by itself is to be answered, and run where there is
+  /// room.
+  void troubles_over(Instant now) { troubles_over_ = now; }
+  bool calm() const { return troubles_over_.has_value(); }
+  /// Whether there was room for a task of the job at this moment though none of it is on a machine.
+  void waits(Instant now, const std::string& ref, bool room);
+  /// Jobs that count as served: done, or of a service at least half begun; those that were withdrawn, are
+  /// hopeless or came within the last four minutes aside.
+  struct Served {
+    std::string what;  ///< "class x", "team x" or "largest of x"
+    int jobs = 0;
+    int served = 0;
+  };
+  std::vector<Served> served(Instant now) const;
+  /// A class's largest jobs: the tenth of them, at least one, that takes the most (tasks times cores, cards
+  /// counted as eight, times the owner's estimate).
+  std::set<std::string> largest(const std::string& queue) const;
+  /// The longest that one of a class's largest jobs waited for its first task, so far.
+  Micros longest_wait(const std::string& queue, Instant now) const;
+  /// The end of a day: less than half served, and largest jobs that began too late.
+  void judge(Instant now);
+  /// What accepted jobs there are that are neither done, withdrawn nor hopeless.
+  std::vector<std::string> open() const;
+  const JobSpec& spec(const std::string& ref) const { return specs_.at(ref); }
+  bool on_a_machine(const std::string& ref) const;
+  bool is_done(const std::string& ref, std::uint32_t task) const {
+    const auto it = completed_.find(ref);
+    return it != completed_.end() && it->second.contains(task);
+  }
+
   const std::set<std::string>& broken() const { return broken_; }
   const std::vector<std::string>& notes() const { return notes_; }
   std::size_t starts() const { return starts_; }
@@ -62,6 +99,18 @@
     std::string site;
     topology::Place place;
   };
+  /// What the addition looks at.
+  struct Job {
+    std::optional<Instant> accepted;
+    std::optional<Instant> answered;  ///< last
+    std::optional<Instant> began;
+    std::optional<Instant> room_since;
+    std::set<std::uint32_t> started;
+    bool asks = true;
+    bool hopeless = false;
+  };
+  void answered(Instant now, const std::string& ref);
+  bool counts(const std::string& ref) const;
   void check_layout(const JobSpec& spec, const On& here);
   void breaks(const std::string& rule, const std::string& note);
   void final_state(Instant now, const std::string& ref, const std::string& state);
@@ -70,6 +119,8 @@
   std::shared_ptr<const topology::Topology> topology_;
   std::map<std::string, double> most_in_one_;
   std::map<std::string, JobSpec> specs_;
+  std::map<std::string, Job> jobs_;
+  std::optional<Instant> troubles_over_;
   std::set<std::string> accepted_;
   std::set<std::string> asked_;
   std::map<std::string, std::string> final_;
--- a/lab/models/include/wrenusher/lab/cloud.hpp
+++ b/lab/models/include/wrenusher/lab/cloud.hpp
@@ -16,6 +16,11 @@
 
   void serve(const std::string& from, const Request& r, const Answer& answer);
   void outage(bool on) { down_ = on; }
+  /// From now on boots take so many times as long, and this share of machines never comes up.
+  void boots(double factor, double never) {
+    boot_factor_ = factor;
+    boot_never_ = never;
+  }
   /// The machines that are up from the start.
   void furnish();
   std::uint64_t requests() const { return requests_; }
@@ -33,6 +38,8 @@
   Machines& machines_;
   int scale_;
   bool down_ = false;
+  double boot_factor_ = 1;
+  double boot_never_ = 0;
   std::map<std::string, std::vector<std::string>> bookings_;
   std::deque<std::pair<Instant, Value::List>> lists_;
   Pace pace_;
--- a/lab/models/include/wrenusher/lab/machines.hpp
+++ b/lab/models/include/wrenusher/lab/machines.hpp
@@ -49,6 +49,10 @@
   void die(const std::string& host);
   void hang(const std::string& host, Micros how_long);
   void take(const std::string& host, Micros notice);
+  /// Begins anew at once: no tasks, no images, first tenure, no token.
+  void reborn(const std::string& host);
+  /// Whether some machine that runs has room for a task of the job, its team's ceiling left.
+  bool has_room(const JobSpec& spec) const;
   void faulty(const std::string& host) { faulty_.insert(host); }
   void mistaken(const std::string& ref) { mistaken_.insert(ref); }
 
--- a/lab/models/include/wrenusher/lab/users.hpp
+++ b/lab/models/include/wrenusher/lab/users.hpp
@@ -45,6 +45,7 @@
 
   void submit(const JobTruth& job);
   void withdraw(const std::string& ref);
+  void ask_more_often(double factor) { ask_often_ = factor; }
   /// The last state that the job's user was told; empty before any.
   std::string told(const std::string& ref) const;
   /// Accepted and neither done nor withdrawn, as far as users were told.
@@ -69,6 +70,7 @@
   Machines& machines_;
   Checker& checker_;
   std::map<std::string, Outcome> jobs_;
+  double ask_often_ = 1;
 };
 
 /// A job of a class of the site, drawn anew.
--- a/lab/models/machines.cpp
+++ b/lab/models/machines.cpp
@@ -52,6 +52,7 @@
   std::optional<Instant> token_told;  ///< when a higher token last was a reason to report
   std::optional<Instant> taken_at;
   std::uint64_t tenure = 1, serial = 0, epoch = 0;
+  int life = 0;  ///< what was sent in an earlier one gets no answer
   std::size_t node = 0;
   bool reporting = false;
   double speed = 1;
@@ -203,6 +204,44 @@
   wires_.unserve(m->addr);
 }
 
+void Machines::reborn(const std::string& host) {
+  Machine* m = find(host);
+  if (m == nullptr || !m->up || m->dead) return;
+  lose_tasks(*m);
+  m->images.clear();
+  m->tenure = 1;
+  m->serial = m->epoch = 0;
+  m->token_told.reset();
+  ++m->life;
+  m->reporting = false;
+  m->lease_from = m->next_report = wires_.now();
+}
+
+bool Machines::has_room(const JobSpec& spec) const {
+  Needs team;
+  for (const auto& [ref, m] : machines_) {
+    for (const Task& t : m->tasks) {
+      const JobSpec& other = jobs_.at(t.ref).spec;
+      if (other.owner == spec.owner && !t.ended()) team += other.needs;
+    }
+  }
+  const settings::Team* its = settings_.team(spec.owner);
+  const Needs with{team.cores + spec.needs.cores, team.cards + spec.needs.cards, 0};
+  if (its == nullptr || (its->cores_max > 0 && with.cores > to_amount(its->cores_max)) ||
+      (its->cards_max > 0 && with.cards > to_amount(its->cards_max)))
+    return false;
+  return std::any_of(machines_.begin(), machines_.end(), [&](const auto& e) {
+    const Machine& m = *e.second;
+    if (!acts(m) || m.taken_at || faulty_.contains(m.ref) || !spec.allows(m.flavor, m.site, m.standby))
+      return false;
+    Needs room = m.type->flavor.room;
+    for (const Task& t : m.tasks) {
+      if (!t.ended()) room -= jobs_.at(t.ref).spec.needs;
+    }
+    return spec.needs.fits(room);
+  });
+}
+
 void Machines::hang(const std::string& host, Micros how_long) {
   if (Machine* m = find(host)) m->hung_until = wires_.now() + how_long;
 }
@@ -628,9 +667,11 @@
   const Instant sent = wires_.now();
   m.last_sent = sent;
   m.next_report = sent + scaled(settings_.report, wires_.uniform(0.75, 1.25));
-  wires_.send(
-      m.ref, nodes_[m.node].second, {"POST", "/hello", encode(describe(m))}, from_seconds(4),
-      [this, host = m.ref, sent, tenure = m.tenure](const Outcome& o) { answered(host, sent, tenure, o); });
+  wires_.send(m.ref, nodes_[m.node].second, {"POST", "/hello", encode(describe(m))}, from_seconds(4),
+              [this, host = m.ref, sent, tenure = m.tenure, life = m.life](const Outcome& o) {
+                if (const Machine* x = find(host); x != nullptr && x->life == life)
+                  answered(host, sent, tenure, o);
+              });
 }
 
 void Machines::answered(const std::string& host, Instant sent, std::uint64_t tenure, const Outcome& o) {
--- a/lab/sim/include/wrenusher/lab/world.hpp
+++ b/lab/sim/include/wrenusher/lab/world.hpp
@@ -32,6 +32,15 @@
   /// The links are whole again, and what was held is delivered.
   void heal();
   Links links;
+  /// Of requests whose path begins so, this share is delivered once more after a time between the two: cuts
+  /// or not, and the answer goes to nobody.
+  struct Copies {
+    double share = 0;
+    Micros least{};
+    Micros most{};
+    std::vector<std::string> paths;  ///< empty: all
+  };
+  void copy_late(Copies c) { copies_ = std::move(c); }
 
  private:
   Micros delay();
@@ -51,6 +60,7 @@
   std::map<Endpoint, std::string> names_;
   std::map<Endpoint, Handler> handlers_;
   std::vector<std::function<void()>> held_;
+  Copies copies_;
   int addresses_ = 0;
 };
 
@@ -93,6 +103,17 @@
     wires_.links.cut_one_way(from, to, how);
   }
   void isolate(const std::string& who, Cut how, const std::set<std::string>& but = {});
+  /// It loses the state service and the other controllers, and nothing else.
+  void leave_alone(int controller, Cut how);
+  /// Its reports arrive, but neither answers nor orders reach it.
+  void deafen(const std::string& host, Cut how);
+  void copy_late(SimWires::Copies c) { wires_.copy_late(std::move(c)); }
+  /// The machine begins anew under its name: nothing is on it, and it counts from the start.
+  void reborn(const std::string& host) { machines_.reborn(host); }
+  /// Users ask so many times as often.
+  void storm(double factor) { users_.ask_more_often(factor); }
+  /// New machines take so many times as long to boot, and this share of them never comes up.
+  void boots(double factor, double never) { cloud_.boots(factor, never); }
   void cut_zone(const std::string& zone, Cut how) { wires_.links.cut_zone(zone, how); }
   void heal() { wires_.heal(); }
   void state_outage(bool on) { state_.outage(on); }
--- a/lab/sim/sim_wires.cpp
+++ b/lab/sim/sim_wires.cpp
@@ -1,3 +1,5 @@
+#include <algorithm>
+
 #include "wrenusher/lab/world.hpp"
 
 namespace wrenusher::lab {
@@ -62,6 +64,16 @@
 }
 
 void SimWires::send(const std::string& from, const Endpoint& to, Request request, Micros timeout, Done done) {
+  if (copies_.share > 0 && uniform(0, 1) < copies_.share &&
+      (copies_.paths.empty() || std::any_of(copies_.paths.begin(), copies_.paths.end(),
+                                            [&](const auto& p) { return request.target.starts_with(p); }))) {
+    const Micros late{static_cast<std::int64_t>(
+        uniform(static_cast<double>(copies_.least.count()), static_cast<double>(copies_.most.count())))};
+    at(late, [this, from, to, request] {
+      if (const auto h = handlers_.find(to); h != handlers_.end())
+        h->second(from, request, [](const Response&) {});
+    });
+  }
   struct Call {
     bool settled = false;
     Done done;
--- a/lab/sim/world.cpp
+++ b/lab/sim/world.cpp
@@ -9,6 +9,9 @@
 constexpr int kControllers = 3;
 constexpr Micros kWatch = millis(100);
 constexpr Micros kAgreeEvery = from_seconds(1);
+constexpr Micros kRoomEvery = from_seconds(2);
+/// Copies of messages come up to so many leases late.
+constexpr double kCopyLeases = 2.5;
 const Endpoint kState = "10.2.0.1:2379";
 const Endpoint kCloud = "10.2.0.2:8443";
 
@@ -208,6 +211,13 @@
 
 /// What no rule of the protocol names, but several rest on.
 void World::watch() {
+  if (checker.calm() && now().time_since_epoch() % kRoomEvery < kWatch) {
+    for (const std::string& ref : checker.open()) {
+      const JobSpec& spec = checker.spec(ref);
+      if (spec.shape == Shape::sweep)
+        checker.waits(now(), ref, !checker.on_a_machine(ref) && machines_.has_room(spec));
+    }
+  }
   checker.leaders(static_cast<int>(std::count_if(
       nodes_.begin(), nodes_.end(), [](const auto& n) { return n && n->controller.certain(); })));
   if (now().time_since_epoch() % kAgreeEvery < kWatch) {
@@ -279,6 +289,17 @@
   }
 }
 
+void World::leave_alone(int controller, Cut how) {
+  cut(name_of(controller), "state", how);
+  for (int i = 0; i < kControllers; ++i) {
+    if (i != controller) cut(name_of(controller), name_of(i), how);
+  }
+}
+
+void World::deafen(const std::string& host, Cut how) {
+  for (int i = 0; i < kControllers; ++i) cut_one_way(name_of(i), host, how);
+}
+
 mail::Readiness World::ready(int controller) const {
   const auto& n = nodes_[static_cast<std::size_t>(controller)];
   return n ? n->controller.ready() : mail::Readiness::cold;
@@ -328,6 +349,32 @@
     ends([this] { heal(); });
   } else if (t.what == "controller_stalls") {
     stall(controller(t.whom), t.lasts);
+  } else if (t.what == "controller_alone") {
+    leave_alone(controller(t.whom.empty() ? "leader" : t.whom), pick(2) == 0 ? Cut::hold : Cut::reset);
+    ends([this] { heal(); });
+  } else if (t.what == "controller_flickers") {
+    // Back within a fraction of a second, again and again.
+    const int c = controller(t.whom);
+    for (Micros at_{}; at_ < t.lasts; at_ += from_seconds(uniform(0.3, 3)))
+      at(at_, [this, c] { crash(c, from_seconds(uniform(0.05, 0.9))); });
+  } else if (t.what == "machine_deaf") {
+    for (const std::string& h : t.whom.empty() ? some(hosts()) : std::vector<std::string>{t.whom})
+      deafen(h, pick(2) == 0 ? Cut::hold : Cut::reset);
+    ends([this] { heal(); });
+  } else if (t.what == "machine_reborn") {
+    for (const std::string& h : t.whom.empty() ? some(hosts()) : std::vector<std::string>{t.whom}) reborn(h);
+  } else if (t.what == "late_copies") {
+    copy_late({t.share > 0 ? t.share : 0.2,
+               from_seconds(1),
+               Micros{static_cast<std::int64_t>(to_seconds(site_.settings.lease) * kCopyLeases * 1e6)},
+               {}});
+    ends([this] { copy_late({}); });
+  } else if (t.what == "question_storm") {
+    storm(8);
+    ends([this] { storm(1); });
+  } else if (t.what == "boots_late") {
+    boots(6, 0.3);
+    ends([this] { boots(1, 0); });
   } else if (t.what == "state_outage") {
     state_outage(true);
     ends([this] { state_outage(false); });
--- a/src/controller/controller.cpp
+++ b/src/controller/controller.cpp
@@ -67,6 +67,7 @@
   wire(rt, fleet_.doubted, ledger_, &Ledger::on_doubted);
   wire(rt, fleet_.quiet, ledger_, &Ledger::on_quiet);
   wire(rt, fleet_.quiet, provisioner_, &Provisioner::on_quiet);
+  wire(rt, fleet_.useless, provisioner_, &Provisioner::on_suspect);
   wire(rt, fleet_.hearing, leadership_, &Leadership::on_hearing);
   wire(rt, fleet_.hearing, peer_, &Peer::on_hearing);
   wire(rt, fleet_.deposed, leadership_, &Leadership::on_deposed);
@@ -83,6 +84,7 @@
   wire(rt, provisioner_.catalog_seen, ledger_, &Ledger::on_catalog);
   wire(rt, provisioner_.condemned, ledger_, &Ledger::on_condemned);
   wire(rt, provisioner_.capacity, ledger_, &Ledger::on_capacity);
+  wire(rt, provisioner_.listed, fleet_, &Fleet::on_listed);
   wire(rt, provisioner_.gone, ledger_, &Ledger::on_gone);
   wire(rt, provisioner_.gone, fleet_, &Fleet::on_gone);
 }
--- a/src/desk/frontdesk.cpp
+++ b/src/desk/frontdesk.cpp
@@ -54,7 +54,7 @@
     : rt_(rt), settings_(settings), store_(store) {}
 
 void Frontdesk::on_peer(const PeerNews& news) {
-  peers_[news.node] = {rt_.now(), news.store};
+  if (news.reached) peers_[news.node] = {*news.reached, news.store};
 }
 
 void Frontdesk::on_progress(const std::shared_ptr<const Progress>& p) {
--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -22,6 +22,13 @@
 constexpr std::size_t kMostCalls = 24;
 constexpr Micros kCallTimeout = from_seconds(1);
 constexpr int kCallTries = 3;
+/// A machine is asked for its newest word no more often than this.
+constexpr Micros kChallengeEvery = from_seconds(1.5);
+constexpr Micros kChallengePause = millis(300);
+/// A worker gives an answer up after 4 s and asks the next node 1 s later, which may send it back.
+constexpr Micros kAnswerLost = from_seconds(6);
+/// What was last heard of a worker so long ago is forgotten; no copy comes as late as that.
+constexpr Micros kForgetWords = from_seconds(600);
 /// Time for all of them, and for a worker whose report to the last leader must first be given up.
 constexpr Micros kCalledWithin = from_seconds(4.5);
 }  // namespace
@@ -72,8 +79,11 @@
     answer(refuse({400, "bad_report", "The body is no report of a worker.", "", 0}));
     return;
   }
-  heard_any_ = rt_.now();
-  ever_heard_ = true;
+  // A copy that comes late is no sign that workers reach this node.
+  if (news(*report)) {
+    heard_any_ = rt_.now();
+    ever_heard_ = true;
+  }
   if (report->epoch > term_.epoch) {
     // A 200 with our lower epoch would be dropped by the worker and let its lease run out.
     log::debug("report_newer", "report of {machine} has epoch {epoch}, {term} is known here",
@@ -91,7 +101,9 @@
     answer(elsewhere());
     return;
   }
-  take(std::move(*report), true, [this, answer, epoch = term_.epoch](std::vector<Order> orders) {
+  const Word word = word_of(*report);
+  const std::string host = report->host;
+  take(std::move(*report), true, [this, answer, epoch = term_.epoch, host, word](std::vector<Order> orders) {
     if (!term_.leading || term_.epoch != epoch) {
       answer(elsewhere());
       return;
@@ -100,10 +112,61 @@
     if (rt_.now() >= certain_until_) {
       std::erase_if(orders, [](const Order& o) { return o.verb == Order::Verb::run; });
     }
+    note_answer(host, word, orders);
     answer({200, encode(Value::Map{{"epoch", epoch}, {"orders", write_orders(orders)}}), 0});
   });
 }
 
+/// Whether this is the worker's newest word here; copies of messages may come long after, and out of order.
+bool Fleet::news(const WorkerReport& r) {
+  auto& [word, at] = words_[r.host];
+  if (word_of(r) <= word) return false;
+  word = word_of(r);
+  at = rt_.now();
+  return true;
+}
+
+void Fleet::note_answer(const std::string& host, const Word& word, const std::vector<Order>& orders) {
+  const auto it = hosts_.find(host);
+  if (it != hosts_.end() && it->second.word == word) it->second.heed.answered(term_.epoch, orders);
+}
+
+/// An old word while no newer ones come: a copy that is late, or a machine that began anew under its name and
+/// counts from the start. Its answer to a call is no copy, and tells which.
+void Fleet::challenge(const std::string& host, Host& h, const WorkerReport& r) {
+  const Instant now = rt_.now();
+  if (h.useless || h.addr.empty() || now - h.challenged < kChallengeEvery) return;
+  // Many copies must not make many calls; whose newer words stay out is asked in any case.
+  if (now - h.heard < settings_.report * 5 / 4 && now < next_challenge_) return;
+  next_challenge_ = now + kChallengePause;
+  h.challenged = now;
+  h.heed.called();
+  Request q{"POST", "/orders",
+            encode(Value::Map{{"epoch", term_.epoch}, {"tenure", r.tenure}, {"orders", Value::List{}}}),
+            true};
+  rt_.fetch(h.addr, std::move(q), kCallTimeout, [this, host, epoch = term_.epoch](const Outcome& o) {
+    const auto it = hosts_.find(host);
+    if (!term_.leading || term_.epoch != epoch || it == hosts_.end() || !o.answered) return;
+    const auto v = decode(o.response.body);
+    auto report = v ? read_report(*v) : std::nullopt;
+    if (!report || report->host != host || report->epoch != epoch) return;
+    if (word_of(*report) <= it->second.word) {
+      give_up(host, it->second, "it began anew");
+    } else {
+      take(std::move(*report), false, [](const std::vector<Order>&) {});
+    }
+  });
+}
+
+/// Nothing is ordered there any more, and the machine goes back: whatever it says or does not say of its
+/// tasks, only that proves them gone.
+void Fleet::give_up(const std::string& host, Host& h, const char* why) {
+  if (std::exchange(h.useless, true)) return;
+  log::info("machine_useless", "machine {machine} is of no use: {reason}", log::with("machine", host),
+            log::with("reason", why));
+  useless(HostCondemned{host, why});
+}
+
 void Fleet::take(WorkerReport report, bool settled, const std::function<void(std::vector<Order>)>& reply) {
   if (gone_.contains(report.host)) {
     reply({});
@@ -111,7 +174,9 @@
   }
   uncalled_.erase(report.host);
   Host& h = hosts_[report.host];
-  if (std::pair(report.tenure, report.serial) <= std::pair(h.tenure, h.serial)) {
+  const Word word = word_of(report);
+  if (word <= h.word) {
+    challenge(report.host, h, report);
     reply({});  // older than what is known
     return;
   }
@@ -119,9 +184,17 @@
     log::info("machine_heard", "machine {machine} is heard again", log::with("machine", report.host));
   if (topology_ && (h.addr != report.addr || h.flavor != report.flavor || h.site != report.site))
     h.place = topology_->find(report.host, report.addr, report.flavor, report.site);
-  h = {report.addr,   report.flavor, report.site, std::move(h.place), report.tenure,
-       report.serial, rt_.now(),     false,       std::nullopt};
-  if (report.warning) h.taken = rt_.now() + *report.warning;
+  const Instant now = rt_.now();
+  // An answer to /orders shows what it executed there; what it had been answered before may still come.
+  if (settled) h.heed.reported(report, now - h.heard < std::max(settings_.report * 2, kAnswerLost));
+  h.addr = report.addr;
+  h.flavor = report.flavor;
+  h.site = report.site;
+  h.word = word;
+  h.heard = now;
+  h.quiet = false;
+  h.taken.reset();
+  if (report.warning) h.taken = now + *report.warning;
   const bool current = report.epoch == term_.epoch;
   reported(HostReported{std::make_shared<const WorkerReport>(std::move(report)), current, settled, reply});
 }
@@ -131,8 +204,9 @@
   if (!term_.leading || it == hosts_.end()) return;
   std::vector<Order> orders = d.orders;
   std::erase_if(orders, [](const Order& o) { return o.verb == Order::Verb::run; });
-  const std::string body = encode(
-      Value::Map{{"epoch", term_.epoch}, {"tenure", it->second.tenure}, {"orders", write_orders(orders)}});
+  const std::string body = encode(Value::Map{
+      {"epoch", term_.epoch}, {"tenure", it->second.word.tenure}, {"orders", write_orders(orders)}});
+  it->second.heed.called();
   rt_.fetch(it->second.addr, {"POST", "/orders", body}, from_seconds(2),
             [this, epoch = term_.epoch](const Outcome& o) {
               if (!term_.leading || term_.epoch != epoch || !o.answered || o.response.status != 200) return;
@@ -158,6 +232,15 @@
   call_over();
 }
 
+void Fleet::on_listed(const HostListed& l) {
+  if (!term_.leading || term_.epoch < 2 || l.addr.empty() || hosts_.contains(l.host) ||
+      uncalled_.contains(l.host))
+    return;
+  // Its tenure is not known: an answer that it is another tells which.
+  calls_.push_back({l.host, l.addr, 1, 0});
+  call_over();
+}
+
 /// One that answered no call and sent no report is as silent as one that this leader had heard before: its
 /// silence counts from the last leader's end, whom it could not reach either.
 void Fleet::miss_called() {
@@ -239,6 +322,25 @@
   }
 }
 
+/// Machines that show nothing of their answers. Where that is so of most, the answers of this node reach
+/// nobody, and no machine is to blame.
+void Fleet::look_for_unheeding(Micros limit) {
+  mute_ = false;
+  if (!term_.leading) return;
+  std::size_t heard = 0;
+  std::vector<std::pair<const std::string*, Host*>> deaf;
+  std::size_t suspects = 0;
+  for (auto& [name, h] : hosts_) {
+    if (h.quiet || h.useless || rt_.now() - h.heard > limit) continue;
+    ++heard;
+    if (h.heed.unheeded() >= kUnheeded - 1) ++suspects;
+    if (h.heed.unheeded() >= kUnheeded) deaf.emplace_back(&name, &h);
+  }
+  mute_ = suspects >= 2 && suspects * 2 >= heard;
+  if (mute_) return;
+  for (const auto& [name, h] : deaf) give_up(*name, *h, "it hears nothing");
+}
+
 void Fleet::tick() {
   const Instant now = rt_.now();
   if (ticked_ != Instant{}) {
@@ -271,7 +373,12 @@
   if (awaited < kFewHosts || heard * 4 >= awaited) most_heard_ = now;
   const bool few = now > most_heard_ && now - most_heard_ < settings_.lease;
   const bool deaf = term_.leading && now - led_since_ > limit && (!hears || few);
-  hearing(Hearing{deaf, hears, !hosts_.empty(), starved_ > kStarved});
+  look_for_unheeding(limit);
+  hearing(Hearing{deaf, mute_, hears, !hosts_.empty(), starved_ > kStarved});
+  if (now >= next_tidy_) {
+    next_tidy_ = now + kForgetWords;
+    std::erase_if(words_, [&](const auto& w) { return now - w.second.second > kForgetWords; });
+  }
   if (term_.leading && !deaf && !few) {
     look_at_domains(late);
     miss_called();
--- a/src/fleet/include/wrenusher/fleet/fleet.hpp
+++ b/src/fleet/include/wrenusher/fleet/fleet.hpp
@@ -7,7 +7,9 @@
 #include <deque>
 #include <memory>
 #include <set>
+#include <unordered_map>
 
+#include "wrenusher/fleet/heed.hpp"
 #include "wrenusher/mail/mail.hpp"
 #include "wrenusher/settings/settings.hpp"
 #include "wrenusher/watch/watch.hpp"
@@ -32,24 +34,39 @@
   void on_direct(const DirectOrders& d);
   /// Calls the workers that the last leader had over to this one.
   void on_inherited(const std::shared_ptr<const Inheritance>& all);
+  /// Calls a worker over that is not heard, and of which no hint told.
+  void on_listed(const HostListed& l);
 
   Sink<HostReported> reported;
   Sink<HostQuiet> quiet;
+  Sink<HostCondemned> useless;
   Sink<Doubted> doubted;
   Sink<Hearing> hearing;
   Sink<Deposed> deposed;
 
  private:
+  /// Where a worker's word stands among its others: the higher is the newer one. The token comes first:
+  /// within one life of the worker it only rises, and a copy from an earlier life, whose count may be higher,
+  /// has the lower token.
+  struct Word {
+    std::uint64_t epoch = 0;
+    std::uint64_t tenure = 0;
+    std::uint64_t serial = 0;
+    auto operator<=>(const Word&) const = default;
+  };
+  static Word word_of(const WorkerReport& r) { return {r.epoch, r.tenure, r.serial}; }
   struct Host {
     std::string addr;
     std::string flavor;
     std::string site;
     topology::Place place;
-    std::uint64_t tenure = 0;
-    std::uint64_t serial = 0;
+    Word word;
     Instant heard{};
     bool quiet = false;
     std::optional<Instant> taken;  ///< by then the cloud will have taken it away, as it said itself
+    Heed heed;
+    bool useless = false;  ///< it is being returned: it hears nothing, or has begun anew
+    Instant challenged{};  ///< when it was last asked which of its words is the newest
   };
   /// A worker that is asked for its word by empty orders: that raises its token, so that it reports at once.
   struct Call {
@@ -63,6 +80,11 @@
   void miss_called();
   void tick();
   void look_at_domains(Micros late);
+  void look_for_unheeding(Micros limit);
+  void note_answer(const std::string& host, const Word& word, const std::vector<Order>& orders);
+  void challenge(const std::string& host, Host& h, const WorkerReport& r);
+  void give_up(const std::string& host, Host& h, const char* why);
+  bool news(const WorkerReport& r);
   Response elsewhere() const;
   void take(WorkerReport report, bool settled, const std::function<void(std::vector<Order>)>& reply);
   Micros quiet_after() const;
@@ -78,6 +100,11 @@
   Instant most_heard_{};  ///< when this leader last heard a fair part of its workers
   bool ever_heard_ = false;
   std::map<std::string, Host> hosts_;
+  /// The newest word of each worker here, leading or not, and when it came.
+  std::unordered_map<std::string, std::pair<Word, Instant>> words_;
+  Instant next_tidy_{};
+  Instant next_challenge_{};
+  bool mute_ = false;  ///< most workers show nothing of this leader's answers
   std::shared_ptr<const topology::Topology> topology_;
   watch::Watch watch_;
   std::set<std::string> doubted_;  ///< as it was last told
--- /dev/null
+++ b/src/fleet/include/wrenusher/fleet/heed.hpp
@@ -0,0 +1,42 @@
+#pragma once
+// Whether a worker gets its answers. A machine whose reports arrive while answers and orders do not reach it
+// looks healthy by its reports alone: it is never silent, is told its starts in vain, and loses its tasks
+// with every lease. What its next report shows of the last answer tells.
+
+#include <vector>
+
+#include "wrenusher/protocol/messages.hpp"
+
+namespace wrenusher::fleet {
+
+using namespace base;
+using namespace protocol;
+
+/// So many reports in a row that show nothing of the answer before them: it hears nothing. An answer is lost
+/// now and then; three in a row are not.
+inline constexpr int kUnheeded = 3;
+
+class Heed {
+ public:
+  /// It was answered its newest report with this.
+  void answered(std::uint64_t epoch, const std::vector<Order>& orders);
+  /// It was called, and may have spent a number of its count on an answer that never came.
+  void called() { ++calls_; }
+  /// Its next report. `steady`: it came about when it was due, so that a lease that ran out ran out for want
+  /// of answers alone.
+  void reported(const WorkerReport& r, bool steady);
+  /// Reports in a row that showed nothing of what had been answered.
+  int unheeded() const { return unheeded_; }
+
+ private:
+  bool answered_ = false;
+  std::uint64_t epoch_ = 0;    ///< of the answer
+  std::uint64_t tenure_ = 0;   ///< of the last report
+  std::uint64_t seen_ = 0;     ///< token of the last report
+  std::uint64_t serial_ = 0;   ///< of the last report
+  std::uint64_t calls_ = 0;    ///< since then
+  std::vector<Order> orders_;  ///< in the answer, those that tell whether it came
+  int unheeded_ = 0;
+};
+
+}  // namespace wrenusher::fleet
--- a/src/mail/include/wrenusher/mail/mail.hpp
+++ b/src/mail/include/wrenusher/mail/mail.hpp
@@ -58,6 +58,8 @@
   topology::Edition in_force;  ///< while it leads
   Readiness ready = Readiness::cold;
   bool abstains = false;  ///< it has given the lead away and does not want it back yet
+  /// When the question went out that this answers: the peer was there then. Nothing: it came by itself.
+  std::optional<Instant> reached;
   std::string successor;  ///< whom it wants to lead now; empty: nobody
 };
 
@@ -69,6 +71,7 @@
 /// Whether workers that should report to this leader do.
 struct Hearing {
   bool deaf = false;
+  bool mute = false;  ///< they report, but show nothing of what they are answered
   bool hears_workers = false;
   bool had_workers = false;  ///< some reported in this term
   bool starved = false;      ///< this node stood still for most of the last seconds
@@ -284,6 +287,12 @@
   std::string why;
 };
 
+/// A machine that the cloud's list names for the first time in this term.
+struct HostListed {
+  std::string host;
+  std::string addr;
+};
+
 /// Machine types of which the cloud has none to give at present.
 struct CapacitySeen {
   std::set<std::string> exhausted;
--- a/src/membership/include/wrenusher/membership/leadership.hpp
+++ b/src/membership/include/wrenusher/membership/leadership.hpp
@@ -52,6 +52,7 @@
   /// Candidates that go before this node.
   int before_me() const;
   bool warm_peer() const;
+  Micros alone_after() const;
   void cede(const char* why, const std::function<bool(const PeerNews&)>& fit);
   void campaign(std::uint64_t stamp);
   void abandon(std::uint64_t tenancy);
@@ -99,8 +100,10 @@
   Readiness ready_ = Readiness::cold;
   Instant next_extend_{};
   Instant abstain_until_{};
+  Instant heard_peer_{};  ///< any of them
   Instant deaf_since_{};
   bool deaf_ = false;
+  bool mute_ = false;
   bool had_workers_ = false;
   bool starved_ = false;
 };
--- a/src/membership/include/wrenusher/membership/peer.hpp
+++ b/src/membership/include/wrenusher/membership/peer.hpp
@@ -4,6 +4,7 @@
 
 #include <deque>
 #include <memory>
+#include <optional>
 
 #include "wrenusher/membership/leadership.hpp"
 
@@ -42,9 +43,12 @@
  private:
   void beat();
   void send();
-  Value describe() const;
+  Value describe();
   bool abstains() const { return rt_.now() < abstains_until_; }
-  void learn(const Value& v);
+  /// What a peer says. `asked`: when the question went out that this answers; nothing: it came by itself, and
+  /// may be a copy that is late.
+  void learn(const Value& v, std::optional<Instant> asked);
+  bool newer(const std::string& node, const Value& v, bool answer);
 
   Runtime& rt_;
   const Settings& settings_;
@@ -59,6 +63,11 @@
   Readiness ready_ = Readiness::cold;
   Instant abstains_until_{};
   std::string successor_;
+  /// By which a peer tells this node's words in order, over its lives as well: time of day when it began, and
+  /// a count.
+  std::uint64_t since_ = 0;
+  std::uint64_t said_ = 0;
+  std::map<std::string, std::pair<std::uint64_t, std::uint64_t>> heard_;  ///< the newest word of each peer
 };
 
 }  // namespace wrenusher::membership
--- a/src/membership/leadership.cpp
+++ b/src/membership/leadership.cpp
@@ -140,7 +140,11 @@
 }
 
 void Leadership::on_peer(const PeerNews& news) {
-  peers_[news.node] = {news, rt_.now()};
+  PeerState& p = peers_[news.node];
+  p.news = news;
+  // That a peer is there, only its answers prove: what comes by itself may come long after.
+  if (news.reached) p.at = std::max(p.at, *news.reached);
+  heard_peer_ = std::max(heard_peer_, p.at);
   if (news.leading && news.epoch >= epoch_) last_word_ = rt_.now();
   if (news.epoch > epoch_) {
     if (leading_) stand_down("a peer knows a higher epoch", Micros{0});
@@ -162,6 +166,7 @@
 void Leadership::on_hearing(const Hearing& h) {
   if (h.deaf && !deaf_) deaf_since_ = rt_.now();
   deaf_ = h.deaf;
+  mute_ = h.mute;
   had_workers_ = h.had_workers;
   starved_ = h.starved;
 }
@@ -176,6 +181,14 @@
   }
 }
 
+/// How long a leader that reaches nobody but its workers goes on answering them. They would stay with it
+/// though another leads, and what is cancelled there must be gone in time: a third of that time is left here,
+/// the rest is for a lost answer, the way to the other leader, and the stop. Leases of tasks run on
+/// meanwhile, as in an outage that all share.
+Micros Leadership::alone_after() const {
+  return settings_.cancel / 3;
+}
+
 void Leadership::tick() {
   const Instant now = rt_.now();
   if (leading_) {
@@ -192,6 +205,10 @@
     if (mine() != force_ && now >= next_adopt_) adopt();
     if (now > certain_until_ && peer_with_store) {
       stand_down("a peer has the state service and this node has not", Micros{0});
+    } else if (now - std::max(certain_until_, heard_peer_) > alone_after() && !settings_.peers.empty()) {
+      // Neither state service nor peer for long: an outage that all share while the peers are gone too, or
+      // this node is cut off with its workers while another leads.
+      stand_down("neither the state service nor a peer is reached", Micros{0});
     } else if (mine().version <= force_.version && mine() != force_ && peer_has(force_) &&
                (ceded_ == Instant{} || now - ceded_ > kCedeEvery)) {
       ceded_ = now;
@@ -203,6 +220,9 @@
       ceded_ = now;
       cede("its share of the processor is gone",
            [](const PeerNews& n) { return n.ready == Readiness::warm; });
+    } else if (mute_ && (ceded_ == Instant{} || now - ceded_ > kCedeEvery) && peer_hears) {
+      ceded_ = now;
+      cede("its answers reach no worker", [](const PeerNews& n) { return n.hears_workers; });
     } else if (deaf_ && !settings_.peers.empty() &&
                (peer_hears || (!any_peer && had_workers_ && now - deaf_since_ > from_seconds(2)))) {
       // Workers cannot reach this node, or it is cut off from all but the state service: as long as it holds
@@ -236,7 +256,7 @@
       // An earlier life of this node still holds the lead; it cannot act any more, so there is nothing to
       // wait for. Not after giving the lead away: then the hold's end is on its way.
       if (rt_.now() < abstain_until_) return;
-      if (peers_.empty() && !settings_.peers.empty() && rt_.now() - started_ < kFirstWord) {
+      if (heard_peer_ == Instant{} && !settings_.peers.empty() && rt_.now() - started_ < kFirstWord) {
         // The peers have not had the time to say how warm they are.
         next_look_ = rt_.now() + kFirstWord / 2;
       } else if (ready_ != Readiness::warm && warm_peer()) {
--- a/src/membership/peer.cpp
+++ b/src/membership/peer.cpp
@@ -17,6 +17,7 @@
 Peer::Peer(Runtime& rt, const Settings& settings) : rt_(rt), settings_(settings) {}
 
 void Peer::start() {
+  since_ = static_cast<std::uint64_t>(rt_.wall().time_since_epoch() / millis(1));
   beat();
 }
 
@@ -34,9 +35,9 @@
     Value::Map all = *common.map();
     if (auto a = asides_.extract(p.name)) all.emplace_back("aside", std::move(a.mapped()));
     const std::string body = encode(Value(std::move(all)));
-    rt_.fetch(p.at, {"POST", "/beat", body}, kTimeout, [this](const Outcome& o) {
+    rt_.fetch(p.at, {"POST", "/beat", body}, kTimeout, [this, asked = rt_.now()](const Outcome& o) {
       if (!o.answered || o.response.status != 200) return;
-      if (const auto v = decode(o.response.body)) learn(*v);
+      if (const auto v = decode(o.response.body)) learn(*v, asked);
     });
   }
 }
@@ -69,12 +70,12 @@
   mine_ = t.topology ? t.topology->edition() : topology::Edition{};
 }
 
-Value Peer::describe() const {
+Value Peer::describe() {
   Value::List gone;
   for (const auto& [at, ref] : recent_) gone.emplace_back(ref);
-  Value::Map out{{"node", settings_.node},      {"epoch", term_.epoch}, {"leader", term_.leader},
-                 {"leading", term_.leading},    {"store", store_},      {"hears", hears_},
-                 {"withdrawn", std::move(gone)}};
+  Value::Map out{{"node", settings_.node},       {"epoch", term_.epoch}, {"leader", term_.leader},
+                 {"leading", term_.leading},     {"store", store_},      {"hears", hears_},
+                 {"withdrawn", std::move(gone)}, {"since", since_},      {"n", ++said_}};
   write_edition(out, "topology", mine_);
   if (term_.leading) write_edition(out, "in_force", force_);
   out.emplace_back("ready", static_cast<int>(ready_));
@@ -91,12 +92,27 @@
   return out;
 }
 
-void Peer::learn(const Value& v) {
+/// Whether this is a peer's newest word. Heartbeats may come twice, long after, and mixed with those of an
+/// earlier life. An answer to a question of this node's is no copy: one that began earlier by its clock is a
+/// new life all the same, whose clock was set.
+bool Peer::newer(const std::string& node, const Value& v, bool answer) {
+  const auto since = v["since"].count();
+  const auto n = v["n"].count();
+  if (!since || !n) return true;  // up to 0.6 they were not counted
+  auto& last = heard_[node];
+  const std::pair word(*since, *n);
+  if (word <= last && !(answer && *since < last.first)) return false;
+  last = word;
+  return true;
+}
+
+void Peer::learn(const Value& v, std::optional<Instant> asked) {
   PeerNews n;
   const std::string* node = v["node"].text();
   const auto epoch = v["epoch"].count();
-  if (node == nullptr || !epoch || *node == settings_.node) return;
+  if (node == nullptr || !epoch || *node == settings_.node || !newer(*node, v, asked.has_value())) return;
   n.node = *node;
+  n.reached = asked;
   n.epoch = *epoch;
   if (const std::string* l = v["leader"].text()) n.leader = *l;
   n.leading = v["leading"].boolean().value_or(false);
@@ -135,7 +151,7 @@
     answer({400, {}, 0});
     return;
   }
-  learn(*v);
+  learn(*v, std::nullopt);
   answer({200, encode(describe()), 0});
 }
 
--- a/src/provisioner/include/wrenusher/provisioner/provisioner.hpp
+++ b/src/provisioner/include/wrenusher/provisioner/provisioner.hpp
@@ -36,6 +36,7 @@
   Sink<HostCondemned> condemned;
   Sink<HostGone> gone;
   Sink<CapacitySeen> capacity;
+  Sink<HostListed> listed;
   Sink<std::shared_ptr<const RentalHints>> hints;
 
  private:
@@ -47,7 +48,8 @@
     bool returning = false;
     bool draining = false;  ///< gets no new tasks and goes back once the last has ended
     bool running = false;   ///< listed as running
-    bool carries = false;   ///< a named device: stays though it idles
+    bool listed = false;
+    bool carries = false;  ///< a named device: stays though it idles
     Amount booked = 0;
     Amount working = 0;
     Amount lasting = 0;
@@ -69,6 +71,11 @@
     int tries = 0;
   };
 
+  struct Call {
+    bool acts = false;  ///< rents or returns, which only a leader may that is certain to lead
+    std::function<void()> send;
+  };
+
   /// What was last rented for a job's layout.
   struct LayoutTry {
     std::uint32_t tasks = 0;
@@ -116,7 +123,7 @@
   std::string catalog_written_;
   Pace pace_;
   /// Waiting calls to the cloud; what frees stuck work stands in front.
-  std::deque<std::function<void()>> calls_;
+  std::deque<Call> calls_;
   bool pumping_ = false;
   int troubles_ = 0;
   Instant cloud_not_before_{};
--- a/src/provisioner/provisioner.cpp
+++ b/src/provisioner/provisioner.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <limits>
+#include <utility>
 
 #include "wrenusher/log/log.hpp"
 #include "wrenusher/planner/planner.hpp"
@@ -58,6 +59,8 @@
 void Provisioner::on_term(const TermChanged& t) {
   const bool begins = t.leading && !(term_.leading && term_.epoch == t.epoch);
   term_ = t;
+  // What waits for its turn at the cloud was decided by a leader.
+  if (!t.leading) calls_.clear();
   if (!begins) return;
   calls_.clear();
   open_bookings_.clear();
@@ -98,6 +101,7 @@
 // ---------------------------------------------------------------- calls to the cloud
 
 void Provisioner::cloud(Request request, bool first, std::function<void(const Outcome&)> done) {
+  const bool acts = request.method == "POST";
   auto send = [this, request = std::move(request), done = std::move(done)]() mutable {
     rt_.fetch(
         settings_.cloud, std::move(request), kTimeout, [this, done = std::move(done)](const Outcome& o) {
@@ -113,9 +117,9 @@
         });
   };
   if (first) {
-    calls_.emplace_front(std::move(send));
+    calls_.push_front({acts, std::move(send)});
   } else {
-    calls_.emplace_back(std::move(send));
+    calls_.push_back({acts, std::move(send)});
   }
   pump();
 }
@@ -124,7 +128,11 @@
   if (pumping_) return;
   while (!calls_.empty()) {
     const Instant now = rt_.now();
-    if (now < cloud_not_before_ || !pace_.take(1, now)) {
+    // What was decided while this node was certain to lead is not done once it is not: it may have stood
+    // still in between.
+    const auto next =
+        std::find_if(calls_.begin(), calls_.end(), [&](const Call& c) { return !c.acts || certain(); });
+    if (next == calls_.end() || now < cloud_not_before_ || !pace_.take(1, now)) {
       pumping_ = true;
       rt_.after(millis(50), [this] {
         pumping_ = false;
@@ -132,8 +140,8 @@
       });
       return;
     }
-    auto send = std::move(calls_.front());
-    calls_.pop_front();
+    auto send = std::move(next->send);
+    calls_.erase(next);
     send();
   }
 }
@@ -238,6 +246,9 @@
   m.flavor = r.flavor;
   m.site = r.site;
   m.standby = r.standby;
+  // What runs is called over, where nobody left word of it: its worker may stay with a former leader that is
+  // cut off with it.
+  if (r.status == "running" && !std::exchange(m.listed, true) && !m.up) listed(HostListed{r.ref, r.addr});
   if (added) {
     m.rented = rt_.now() - r.held;
     m.expected = std::max(m.expected, m.rented + patience(r.flavor));
@@ -409,7 +420,7 @@
 }
 
 void Provisioner::on_suspect(const HostCondemned& c) {
-  if (term_.leading) give_back(c.host, "tasks of several jobs failed on it");
+  if (term_.leading) give_back(c.host, c.why.c_str());
 }
 
 void Provisioner::on_workload(const std::shared_ptr<const Workload>& w) {
--- a/src/reports/reports.cpp
+++ b/src/reports/reports.cpp
@@ -43,7 +43,9 @@
       const auto it = job->claims.find(u.task);
       if (it != job->claims.end() && (it->second.at != &m || it->second.phase != Phase::fresh)) continue;
       // No claim stands for it, yet it is here: what is on a machine must be booked, or it could be started a
-      // second time elsewhere.
+      // second time elsewhere. A report of before this term may be a copy that comes late, of what has long
+      // left; the machine's first word under this term tells.
+      if (!m.current) continue;
       log::warn("task_adopted", "task {task} is on {machine} without a claim: adopted",
                 log::with("task", unit_name(u.ref, u.task)), log::with("machine", r.host));
       book_.claim(*job, u.task, m, u.attempt, Phase::loaded);
