Leases are renewed only while every cancellation told of late is known

Failing tests first (7 of 24, simulated, tests/cancelled_test.cpp): with the state service refusing the leader alone and then everybody for 75 s, tasks of jobs whose cancellation another node had confirmed ran on past cancel_s where that node ended, was back within a fraction of a second, stood still or was cut off, where it told more than 200, where a poll was the first to tell, and under a new leader that lost the state service as its term began. Cause: a leader without the state service renewed leases as long as any peer answered, and a peer repeated its last 200 cancellations for 20 s whether or not anybody had heard them.

Cancellations are numbered by each life of a controller and kept until each peer has confirmed them; up to when all of them are known follows from answered exchanges, from the same life, or from the state service. A report is answered with 200 only while that is no longer ago than cancel_s less lease_s and a margin, and every answer stops what is known to be cancelled, whether or not the records were read. 24 of 24 pass; an outage of 150 s that all share with no node lost costs no task.

--- a/src/controller/controller.cpp
+++ b/src/controller/controller.cpp
@@ -58,10 +58,16 @@
 
   wire(rt, peer_.news, leadership_, &Leadership::on_peer);
   wire(rt, peer_.news, frontdesk_, &Frontdesk::on_peer);
+  // First what is cancelled, then how much of it is known: Peer sends in that order.
   wire(rt, peer_.withdrawn, ledger_, &Ledger::on_withdrawn);
+  wire(rt, peer_.withdrawn, fleet_, &Fleet::on_withdrawn);
+  wire(rt, peer_.known, fleet_, &Fleet::on_known);
+  wire(rt, ledger_.cancellations_read, peer_, &Peer::on_read);
+  wire(rt, standby_.cancellations_read, peer_, &Peer::on_read);
 
   wire(rt, frontdesk_.withdrawn, peer_, &Peer::on_withdrawn);
   wire(rt, frontdesk_.withdrawn, ledger_, &Ledger::on_withdrawn);
+  wire(rt, frontdesk_.withdrawn, fleet_, &Fleet::on_withdrawn);
 
   wire(rt, fleet_.reported, ledger_, &Ledger::on_report);
   wire(rt, fleet_.doubted, ledger_, &Ledger::on_doubted);
--- a/src/desk/frontdesk.cpp
+++ b/src/desk/frontdesk.cpp
@@ -243,11 +243,11 @@
 }
 
 void Frontdesk::known_or(const std::string& ref, Response otherwise, const Answer& answer) {
-  lookup(ref, [ref, otherwise = std::move(otherwise), answer](const Found& f) {
+  lookup(ref, [this, ref, otherwise = std::move(otherwise), answer](const Found& f) {
     if (f.failed) {
       answer(f.busy ? busy() : no_state());
     } else if (f.state) {
-      answer(status_response(200, ref, f.state->status));
+      tell_state(ref, *f.state, answer, status_response(200, ref, f.state->status));
     } else {
       answer(otherwise);
     }
@@ -336,22 +336,40 @@
 }
 
 void Frontdesk::poll(const std::string& ref, const Answer& answer) {
-  lookup(ref, [ref, answer](const Found& f) {
+  lookup(ref, [this, ref, answer](const Found& f) {
     if (f.failed) {
       answer(f.busy ? busy() : no_state());
     } else if (!f.state) {
       answer(unknown_job(ref));
     } else {
-      answer({200,
-              encode(Value::Map{{"ref", ref},
-                                {"status", f.state->status},
-                                {"done", f.state->done},
-                                {"running", f.state->running}}),
-              0});
+      tell_state(ref, *f.state, answer,
+                 {200,
+                  encode(Value::Map{{"ref", ref},
+                                    {"status", f.state->status},
+                                    {"done", f.state->done},
+                                    {"running", f.state->running}}),
+                  0});
     }
   });
 }
 
+/// From this answer on the job's tasks have so long to be gone: it goes out once this node counts the
+/// cancellation among those that it has told, in the order of its mail. A poll may be the first to tell, when
+/// the answer to the cancellation was lost.
+void Frontdesk::tell_withdrawn(const std::string& ref, const Answer& answer, Response response) {
+  withdrawn(JobWithdrawn{ref});
+  rt_.post([answer, response = std::move(response)] { answer(response); });
+}
+
+void Frontdesk::tell_state(const std::string& ref, const State& s, const Answer& answer, Response response) {
+  // What has ended has no tasks any more.
+  if (s.status == "withdrawn" && !finals_.contains(ref)) {
+    tell_withdrawn(ref, answer, std::move(response));
+  } else {
+    answer(std::move(response));
+  }
+}
+
 void Frontdesk::withdraw(const std::string& ref, int tries, const Answer& answer) {
   if (tries == 0) {
     answer(busy());
@@ -367,8 +385,7 @@
       return;
     }
     if (r.rows[0].value["wd"].boolean().value_or(false)) {
-      withdrawn(JobWithdrawn{ref});
-      answer(status_response(200, ref, "withdrawn"));
+      tell_withdrawn(ref, answer, status_response(200, ref, "withdrawn"));
       return;
     }
     store_.commit({{r.rows[0].key, r.rows[0].stamp}},
@@ -376,8 +393,7 @@
                   [this, ref, tries, answer](const Commit& c) {
                     if (c.result == Commit::Result::committed) {
                       know(ref, {c.revision, true});
-                      withdrawn(JobWithdrawn{ref});
-                      answer(status_response(200, ref, "withdrawn"));
+                      tell_withdrawn(ref, answer, status_response(200, ref, "withdrawn"));
                     } else if (c.result == Commit::Result::refused) {
                       answer(no_state());
                     } else {
--- a/src/desk/include/wrenusher/desk/frontdesk.hpp
+++ b/src/desk/include/wrenusher/desk/frontdesk.hpp
@@ -62,6 +62,8 @@
   void submit(const Request& request, const Answer& answer);
   void poll(const std::string& ref, const Answer& answer);
   void withdraw(const std::string& ref, int tries, const Answer& answer);
+  void tell_withdrawn(const std::string& ref, const Answer& answer, Response response);
+  void tell_state(const std::string& ref, const State& s, const Answer& answer, Response response);
   void known_or(const std::string& ref, Response otherwise, const Answer& answer);
   void remember(const std::string& ref, const State& s);
   bool ready() const;
--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -29,6 +29,16 @@
 constexpr Micros kAnswerLost = from_seconds(6);
 /// What was last heard of a worker so long ago is forgotten; no copy comes as late as that.
 constexpr Micros kForgetWords = from_seconds(600);
+/// A report whose answer would renew what may be cancelled waits so long for the news; then its worker is
+/// sent away.
+constexpr Micros kWaitKnown = from_seconds(1.5);
+/// What a stop, a lease and a clock may take beyond their times; twice the drift, as for holds.
+constexpr Micros kStopMargin = from_seconds(2);
+constexpr double kDrift = 0.001;
+/// What is told over and over is noted anew once in so long.
+constexpr Micros kTellAgain = from_seconds(10);
+/// Where cancel_s leaves no more than lease_s, nothing less than this works at all.
+constexpr Micros kLeastUnknown = from_seconds(3);
 /// Time for all of them, and for a worker whose report to the last leader must first be given up.
 constexpr Micros kCalledWithin = from_seconds(4.5);
 }  // namespace
@@ -101,22 +111,113 @@
     answer(elsewhere());
     return;
   }
-  const Word word = word_of(*report);
-  const std::string host = report->host;
-  take(std::move(*report), true, [this, answer, epoch = term_.epoch, host, word](std::vector<Order> orders) {
-    if (!term_.leading || term_.epoch != epoch) {
-      answer(elsewhere());
-      return;
-    }
-    // Without certainty another leader may already have decided otherwise; the answer still keeps the lease.
-    if (rt_.now() >= certain_until_) {
-      std::erase_if(orders, [](const Order& o) { return o.verb == Order::Verb::run; });
-    }
-    note_answer(host, word, orders);
-    answer({200, encode(Value::Map{{"epoch", epoch}, {"orders", write_orders(orders)}}), 0});
+  const auto shared = std::make_shared<const WorkerReport>(std::move(*report));
+  take(shared, true, [this, answer, epoch = term_.epoch, shared](std::vector<Order> orders) {
+    respond(shared, epoch, std::move(orders), answer);
+  });
+}
+
+/// The only answer that renews a lease.
+void Fleet::respond(const Report& r, std::uint64_t epoch, std::vector<Order> orders, const Answer& answer) {
+  if (!term_.leading || term_.epoch != epoch) {
+    answer(elsewhere());
+    return;
+  }
+  if (!may_renew(*r)) {
+    // Nothing is ordered meanwhile: what its report brought is settled by the next.
+    waiting_.push_back({r, epoch, answer, rt_.now() + kWaitKnown});
+    return;
+  }
+  // Without certainty another leader may already have decided otherwise; the answer still keeps the lease.
+  if (rt_.now() >= certain_until_) {
+    std::erase_if(orders, [](const Order& o) { return o.verb == Order::Verb::run; });
+  }
+  stop_cancelled(*r, orders);
+  note_answer(r->host, word_of(*r), orders);
+  answer({200, encode(Value::Map{{"epoch", epoch}, {"orders", write_orders(orders)}}), 0});
+}
+
+void Fleet::on_withdrawn(const JobWithdrawn& w) {
+  // Once cancel_s is over no task of it is left, by the rule that this serves; twice that, and a minute for a
+  // confirmation that came later than the news, is ample.
+  const Instant now = rt_.now();
+  while (!cancelled_order_.empty() &&
+         now - cancelled_order_.front().first > settings_.cancel * 2 + from_seconds(60)) {
+    const auto it = cancelled_.find(cancelled_order_.front().second);
+    if (it != cancelled_.end() && it->second == cancelled_order_.front().first) cancelled_.erase(it);
+    cancelled_order_.pop_front();
+  }
+  const auto [it, added] = cancelled_.try_emplace(w.ref, now);
+  if (!added && now - it->second < kTellAgain) return;
+  it->second = now;
+  cancelled_order_.emplace_back(now, w.ref);
+}
+
+void Fleet::on_known(const CancellationsKnown& k) {
+  known_ = k;
+  answer_waiting();
+}
+
+/// Whatever the ledger knows by now: it may have read no record yet.
+void Fleet::stop_cancelled(const WorkerReport& r, std::vector<Order>& orders) const {
+  if (cancelled_.empty()) return;
+  std::erase_if(orders,
+                [&](const Order& o) { return o.verb == Order::Verb::run && cancelled_.contains(o.ref); });
+  for (const UnitReport& u : r.units) {
+    if (u.status == UnitStatus::ended || !cancelled_.contains(u.ref)) continue;
+    const bool told = std::any_of(orders.begin(), orders.end(), [&](const Order& o) {
+      return o.verb == Order::Verb::halt && o.ref == u.ref && o.task == u.task && o.attempt == u.attempt;
+    });
+    if (!told) orders.push_back({Order::Verb::halt, u.ref, u.task, u.attempt, Micros{0}});
+  }
+}
+
+/// A lease is renewed only while every cancellation that any user was told longer ago than this is known, and
+/// stopped by the same answer. What is not known may be any task, so that its worker's lease is let run out:
+/// from the last renewal on that takes `lease`.
+Micros Fleet::unknown_for() const {
+  const Micros drift{static_cast<std::int64_t>(static_cast<double>(settings_.cancel.count()) * kDrift)};
+  return std::max(kLeastUnknown, settings_.cancel - settings_.lease - drift - kStopMargin);
+}
+
+bool Fleet::may_renew(const WorkerReport& r) const {
+  if (known_.through >= rt_.now() - unknown_for()) return true;
+  return std::all_of(r.units.begin(), r.units.end(), [&](const UnitReport& u) {
+    return u.status == UnitStatus::ended || cancelled_.contains(u.ref);
   });
 }
 
+void Fleet::answer_waiting() {
+  for (std::size_t n = waiting_.size(); n > 0; --n) {
+    const Waiting w = std::move(waiting_.front());
+    waiting_.pop_front();
+    if (!term_.leading || term_.epoch != w.epoch || may_renew(*w.report)) {
+      // The term's orders for it may be others by now: it gets them with its next report.
+      respond(w.report, w.epoch, {}, w.answer);
+    } else if (rt_.now() < w.until) {
+      waiting_.push_back(w);
+    } else {
+      note_letting_go(true);
+      w.answer(refuse({503, "cancellations_unknown",
+                       "What was cancelled may not be known here, so that no lease is renewed.", "", 1}));
+    }
+  }
+  if (letting_go_ && known_.through >= rt_.now() - unknown_for()) note_letting_go(false);
+}
+
+void Fleet::note_letting_go(bool now_so) {
+  if (std::exchange(letting_go_, now_so) == now_so) return;
+  if (now_so) {
+    log::warn("leases_let_go",
+              "leases of machines with tasks are let run out: neither the state service nor {peer} told for "
+              "{seconds:.0f} s what users cancelled",
+              log::with("peer", known_.behind.empty() ? "a peer" : known_.behind),
+              log::with("seconds", to_seconds(unknown_for())));
+  } else {
+    log::info("leases_kept", "leases are renewed again: what users cancelled is known");
+  }
+}
+
 /// Whether this is the worker's newest word here; copies of messages may come long after, and out of order.
 bool Fleet::news(const WorkerReport& r) {
   auto& [word, at] = words_[r.host];
@@ -153,7 +254,7 @@
     if (word_of(*report) <= it->second.word) {
       give_up(host, it->second, "it began anew");
     } else {
-      take(std::move(*report), false, [](const std::vector<Order>&) {});
+      take(std::make_shared<const WorkerReport>(std::move(*report)), false, [](const std::vector<Order>&) {});
     }
   });
 }
@@ -167,7 +268,8 @@
   useless(HostCondemned{host, why});
 }
 
-void Fleet::take(WorkerReport report, bool settled, const std::function<void(std::vector<Order>)>& reply) {
+void Fleet::take(const Report& shared, bool settled, const std::function<void(std::vector<Order>)>& reply) {
+  const WorkerReport& report = *shared;
   if (gone_.contains(report.host)) {
     reply({});
     return;
@@ -196,7 +298,7 @@
   h.taken.reset();
   if (report.warning) h.taken = now + *report.warning;
   const bool current = report.epoch == term_.epoch;
-  reported(HostReported{std::make_shared<const WorkerReport>(std::move(report)), current, settled, reply});
+  reported(HostReported{shared, current, settled, reply});
 }
 
 void Fleet::on_direct(const DirectOrders& d) {
@@ -212,7 +314,8 @@
               if (!term_.leading || term_.epoch != epoch || !o.answered || o.response.status != 200) return;
               const auto v = decode(o.response.body);
               if (auto report = v ? read_report(*v) : std::nullopt; report && report->epoch == epoch) {
-                take(std::move(*report), false, [](const std::vector<Order>&) {});
+                take(std::make_shared<const WorkerReport>(std::move(*report)), false,
+                     [](const std::vector<Order>&) {});
               }
             });
 }
@@ -284,7 +387,7 @@
   if (report && report->host == c.host && report->epoch > epoch) {
     deposed(Deposed{report->epoch});
   } else if (report && report->host == c.host && report->epoch == epoch) {
-    take(std::move(*report), false, [](const std::vector<Order>&) {});
+    take(std::make_shared<const WorkerReport>(std::move(*report)), false, [](const std::vector<Order>&) {});
   } else if (c.tries + 1 < kCallTries) {
     // The answer was lost, or it has begun another tenure since it was told of.
     calls_.push_back({c.host, c.addr, report ? report->tenure : c.tenure, c.tries + 1});
@@ -357,6 +460,7 @@
     log::debug("lost_time", "this controller lost {seconds:.1f} s", log::with("seconds", to_seconds(lost)));
   }
   ticked_ = now;
+  answer_waiting();
   const Micros limit = quiet_after();
   const bool hears = ever_heard_ && now - heard_any_ < limit;
   // Machines do not end most at a time: where few of those that should have reported did, the fault is more
--- a/src/fleet/include/wrenusher/fleet/fleet.hpp
+++ b/src/fleet/include/wrenusher/fleet/fleet.hpp
@@ -29,6 +29,8 @@
 
   void on_term(const TermChanged& t);
   void on_certainty(const Certainty& c) { certain_until_ = c.until; }
+  void on_withdrawn(const JobWithdrawn& w);
+  void on_known(const CancellationsKnown& k);
   void on_gone(const HostGone& g);
   void on_topology(const TopologyInForce& t);
   void on_direct(const DirectOrders& d);
@@ -86,7 +88,14 @@
   void give_up(const std::string& host, Host& h, const char* why);
   bool news(const WorkerReport& r);
   Response elsewhere() const;
-  void take(WorkerReport report, bool settled, const std::function<void(std::vector<Order>)>& reply);
+  using Report = std::shared_ptr<const WorkerReport>;
+  void take(const Report& report, bool settled, const std::function<void(std::vector<Order>)>& reply);
+  void respond(const Report& r, std::uint64_t epoch, std::vector<Order> orders, const Answer& answer);
+  void stop_cancelled(const WorkerReport& r, std::vector<Order>& orders) const;
+  bool may_renew(const WorkerReport& r) const;
+  Micros unknown_for() const;
+  void answer_waiting();
+  void note_letting_go(bool now_so);
   Micros quiet_after() const;
 
   Runtime& rt_;
@@ -115,6 +124,19 @@
   Instant last_word_{};             ///< of the last leader
   std::set<std::string> gone_;
   std::deque<std::string> gone_order_;
+  /// Jobs that are cancelled, for as long as a task of theirs may be anywhere.
+  std::unordered_map<std::string, Instant> cancelled_;
+  std::deque<std::pair<Instant, std::string>> cancelled_order_;
+  CancellationsKnown known_;
+  /// Reports that can't be answered yet, since their tasks may have been cancelled.
+  struct Waiting {
+    Report report;
+    std::uint64_t epoch = 0;
+    Answer answer;
+    Instant until{};
+  };
+  std::deque<Waiting> waiting_;
+  bool letting_go_ = false;  ///< it was told that leases are
 };
 
 }  // namespace wrenusher::fleet
--- a/src/ledger/ledger.cpp
+++ b/src/ledger/ledger.cpp
@@ -9,7 +9,8 @@
 
 namespace {
 
-constexpr Micros kFollowWait = from_seconds(10);
+/// Nothing is known to be known but up to when the last follow that was answered was asked.
+constexpr Micros kFollowWait = from_seconds(2);
 /// Between two follows, so that a burst of our own writes does not come back one by one.
 constexpr Micros kFollowPause = millis(100);
 constexpr Micros kRetryRead = millis(250);
@@ -78,6 +79,7 @@
   coming_images_.clear();
   failing_.clear();
   early_.clear();
+  early_withdrawn_.clear();
   queues_told_.clear();
 }
 
@@ -127,28 +129,41 @@
             log::with("term", term_.epoch), log::with("jobs", book_.jobs().size()),
             log::with("claims", claims), log::with("way", by_copy ? "taken over" : "read"),
             log::with("seconds", to_seconds(rt_.now() - term_began_)));
+  for (const std::string& ref : std::exchange(early_withdrawn_, {})) on_withdrawn(JobWithdrawn{ref});
+  CancellationsRead read{term_began_, {}};
+  for (const auto& [ref, job] : book_.jobs()) {
+    if (job.rec.withdrawn) read.refs.push_back(ref);
+  }
+  cancellations_read(read);
   for (const auto& [host, in] : std::exchange(early_, {})) on_report(in);
   follow(revision, term_.epoch);
 }
 
 void Ledger::follow(std::uint64_t from, std::uint64_t epoch) {
-  store_.follow("job/", from, kFollowWait, Store::Urgent::hold, [this, from, epoch](const FollowReply& f) {
-    if (!open_in(epoch)) return;
-    std::uint64_t next = from;
-    if (f.result == FollowReply::Result::too_old || f.result == FollowReply::Result::too_large) {
-      log::warn("changes_missed", "changes were missed: reading all live jobs again");
-      begin();
-      read_records();
-      return;
-    }
-    if (f.result == FollowReply::Result::ok) {
-      next = std::max(from, f.revision);
-      take_news(f);
-    }
-    rt_.after(kFollowPause, [this, next, epoch] {
-      if (term_.leading && term_.epoch == epoch) follow(next, epoch);
-    });
-  });
+  store_.follow(
+      "job/", from, kFollowWait, Store::Urgent::hold,
+      [this, from, epoch, asked = rt_.now()](const FollowReply& f) {
+        if (!open_in(epoch)) return;
+        std::uint64_t next = from;
+        if (f.result == FollowReply::Result::too_old || f.result == FollowReply::Result::too_large) {
+          log::warn("changes_missed", "changes were missed: reading all live jobs again");
+          begin();
+          read_records();
+          return;
+        }
+        if (f.result == FollowReply::Result::ok) {
+          next = std::max(from, f.revision);
+          take_news(f);
+          CancellationsRead read{asked, {}};
+          for (const Row& row : f.puts) {
+            if (auto ref = records::cancelled_job(row.key, row.value)) read.refs.push_back(std::move(*ref));
+          }
+          cancellations_read(read);
+        }
+        rt_.after(kFollowPause, [this, next, epoch] {
+          if (term_.leading && term_.epoch == epoch) follow(next, epoch);
+        });
+      });
 }
 
 /// A job that is not known here yet.
@@ -200,6 +215,7 @@
 }
 
 void Ledger::on_withdrawn(const JobWithdrawn& w) {
+  if (term_.leading && !loaded_) early_withdrawn_.insert(w.ref);
   if (!open()) return;
   if (Job* job = book_.find(w.ref)) withdraw(*job);
 }
--- a/src/mail/include/wrenusher/mail/mail.hpp
+++ b/src/mail/include/wrenusher/mail/mail.hpp
@@ -231,11 +231,24 @@
 
 // ---- users
 
-/// A user was told that this job is cancelled.
+/// A user is told that this job is cancelled, here or elsewhere, or the state service says that it is. Sent
+/// before the answer to the user.
 struct JobWithdrawn {
   std::string ref;
 };
 
+/// The state service was asked then, and has answered with every cancellation of a live job that it had.
+struct CancellationsRead {
+  Instant asked{};
+  std::vector<std::string> refs;  ///< those that are new to the reader
+};
+
+/// Every cancellation that any user was told before `through` has been handed out as JobWithdrawn.
+struct CancellationsKnown {
+  Instant through = Instant::min();
+  std::string behind;  ///< the peer that was not heard for longest
+};
+
 /// Task counts of the live jobs as the leader last told them, for display alone.
 struct Progress {
   struct Row {
--- a/src/membership/include/wrenusher/membership/peer.hpp
+++ b/src/membership/include/wrenusher/membership/peer.hpp
@@ -6,6 +6,7 @@
 #include <memory>
 #include <optional>
 
+#include "wrenusher/membership/cancellations.hpp"
 #include "wrenusher/membership/leadership.hpp"
 
 namespace wrenusher::membership {
@@ -27,6 +28,7 @@
   void on_health(const StoreHealth& h) { store_ = h.reachable; }
   void on_hearing(const Hearing& h) { hears_ = h.hears_workers; }
   void on_withdrawn(const JobWithdrawn& w);
+  void on_read(const CancellationsRead& r);
   void on_topology(const TopologyRead& t);
   void on_force(const TopologyInForce& t) { force_ = t.edition; }
   void on_progress(const std::shared_ptr<const Progress>& p) { untold_ = p; }
@@ -38,12 +40,16 @@
   Sink<Aside> aside;
   Sink<PeerNews> news;
   Sink<JobWithdrawn> withdrawn;
+  Sink<CancellationsKnown> known;
   Sink<std::shared_ptr<const Progress>> progress;
 
  private:
   void beat();
   void send();
-  Value describe();
+  Value describe(const std::string& peer);
+  void push();
+  void take_cancellations(const std::string& node, const Value& v, std::optional<Instant> asked);
+  void tell_known();
   bool abstains() const { return rt_.now() < abstains_until_; }
   /// What a peer says. `asked`: when the question went out that this answers; nothing: it came by itself, and
   /// may be a copy that is late.
@@ -57,7 +63,10 @@
   topology::Edition mine_;
   topology::Edition force_;
   bool hears_ = false;
-  std::deque<std::pair<Instant, std::string>> recent_;
+  Cancellations cancellations_;
+  Instant pushed_{};                        ///< when the peers were last told at once
+  bool pushing_ = false;                    ///< they will be in a moment
+  std::set<std::string> refused_;           ///< peer and field of what was refused, each told once
   std::shared_ptr<const Progress> untold_;  ///< goes out with the next beat
   std::map<std::string, Value> asides_;     ///< by peer: likewise
   Readiness ready_ = Readiness::cold;
--- a/src/membership/peer.cpp
+++ b/src/membership/peer.cpp
@@ -2,27 +2,35 @@
 
 #include <algorithm>
 
+#include "wrenusher/log/log.hpp"
+
 namespace wrenusher::membership {
 
 namespace {
 constexpr Micros kBeat = millis(500);
 constexpr Micros kTimeout = from_seconds(1);
-/// A cancellation is repeated this long, so that the leader learns of it while the state service is away.
-constexpr Micros kRepeat = from_seconds(20);
-constexpr std::size_t kMostRepeated = 200;
+/// A burst of cancellations goes out together.
+constexpr Micros kPushPause = millis(50);
 /// A node that gave the lead away says for so long whom it wants to lead, and that it does not itself.
 constexpr Micros kAbstains = from_seconds(4);
+std::vector<std::string> names_of(const std::vector<PeerAddress>& peers) {
+  std::vector<std::string> out;
+  for (const PeerAddress& p : peers) out.push_back(p.name);
+  return out;
+}
+
 }  // namespace
 
-Peer::Peer(Runtime& rt, const Settings& settings) : rt_(rt), settings_(settings) {}
+Peer::Peer(Runtime& rt, const Settings& settings)
+    : rt_(rt), settings_(settings), cancellations_(rt.random()() | 1U, names_of(settings.peers)) {}
 
 void Peer::start() {
+  cancellations_.begin(rt_.now(), settings_.cancel);
   since_ = static_cast<std::uint64_t>(rt_.wall().time_since_epoch() / millis(1));
   beat();
 }
 
 void Peer::beat() {
-  while (!recent_.empty() && rt_.now() - recent_.front().first > kRepeat) recent_.pop_front();
   send();
   untold_.reset();
   sent(BeatSent{});
@@ -30,9 +38,8 @@
 }
 
 void Peer::send() {
-  const Value common = describe();
   for (const PeerAddress& p : settings_.peers) {
-    Value::Map all = *common.map();
+    Value::Map all = *describe(p.name).map();
     if (auto a = asides_.extract(p.name)) all.emplace_back("aside", std::move(a.mapped()));
     const std::string body = encode(Value(std::move(all)));
     rt_.fetch(p.at, {"POST", "/beat", body}, kTimeout, [this, asked = rt_.now()](const Outcome& o) {
@@ -43,9 +50,47 @@
 }
 
 void Peer::on_withdrawn(const JobWithdrawn& w) {
-  recent_.emplace_back(rt_.now(), w.ref);
-  if (recent_.size() > kMostRepeated) recent_.pop_front();
-  send();
+  if (cancellations_.tell(w.ref, rt_.now())) push();
+}
+
+/// The peers are told at once, since the leader may be without the state service.
+void Peer::push() {
+  if (pushing_) return;
+  const Micros pause = pushed_ + kPushPause - rt_.now();
+  if (pushed_ == Instant{} || pause.count() <= 0) {
+    pushed_ = rt_.now();
+    send();
+    return;
+  }
+  pushing_ = true;
+  rt_.after(pause, [this] {
+    pushing_ = false;
+    pushed_ = rt_.now();
+    send();
+  });
+}
+
+void Peer::on_read(const CancellationsRead& r) {
+  for (const std::string& ref : r.refs) withdrawn(JobWithdrawn{ref});
+  cancellations_.on_read(r.asked);
+  tell_known();
+}
+
+/// After what it is about: whoever hears of it has got all of that.
+void Peer::tell_known() {
+  known(CancellationsKnown{cancellations_.through(), cancellations_.behind()});
+}
+
+void Peer::take_cancellations(const std::string& node, const Value& v, std::optional<Instant> asked) {
+  const Cancellations::Taken t = cancellations_.take(node, v, asked, rt_.now());
+  if (!t.fault.empty()) {
+    if (refused_.insert(node + ": " + t.fault).second)
+      log::warn("heartbeat_refused", "the cancellations in heartbeats of {peer} are not taken: {reason}",
+                log::with("peer", node), log::with("reason", t.fault));
+    return;
+  }
+  for (const std::string& ref : t.refs) withdrawn(JobWithdrawn{ref});
+  tell_known();
 }
 
 void Peer::on_term(const TermChanged& t) {
@@ -70,12 +115,11 @@
   mine_ = t.topology ? t.topology->edition() : topology::Edition{};
 }
 
-Value Peer::describe() {
-  Value::List gone;
-  for (const auto& [at, ref] : recent_) gone.emplace_back(ref);
-  Value::Map out{{"node", settings_.node},       {"epoch", term_.epoch}, {"leader", term_.leader},
-                 {"leading", term_.leading},     {"store", store_},      {"hears", hears_},
-                 {"withdrawn", std::move(gone)}, {"since", since_},      {"n", ++said_}};
+Value Peer::describe(const std::string& peer) {
+  Value::Map out{{"node", settings_.node},   {"epoch", term_.epoch}, {"leader", term_.leader},
+                 {"leading", term_.leading}, {"store", store_},      {"hears", hears_},
+                 {"since", since_},          {"n", ++said_}};
+  cancellations_.write(peer, out);
   write_edition(out, "topology", mine_);
   if (term_.leading) write_edition(out, "in_force", force_);
   out.emplace_back("ready", static_cast<int>(ready_));
@@ -123,11 +167,7 @@
   n.ready = static_cast<Readiness>(std::min<std::uint64_t>(v["ready"].count().value_or(0), 2));
   n.abstains = v["abstains"].boolean().value_or(false);
   if (const std::string* s = v["successor"].text()) n.successor = *s;
-  if (const Value::List* l = v["withdrawn"].list()) {
-    for (const Value& r : *l) {
-      if (r.text() != nullptr && valid_ref(*r.text())) withdrawn(JobWithdrawn{*r.text()});
-    }
-  }
+  take_cancellations(n.node, v, asked);
   if (const Value::List* l = v["progress"].list()) {
     auto p = std::make_shared<Progress>();
     for (const Value& row : *l) {
@@ -152,7 +192,8 @@
     return;
   }
   learn(*v, std::nullopt);
-  answer({200, encode(describe()), 0});
+  const std::string* node = (*v)["node"].text();
+  answer({200, encode(describe(node != nullptr ? *node : "")), 0});
 }
 
 }  // namespace wrenusher::membership
--- a/src/records/include/wrenusher/records/records.hpp
+++ b/src/records/include/wrenusher/records/records.hpp
@@ -38,6 +38,8 @@
 /// The job of "job/<ref>".
 std::optional<std::string> parse_job_key(const std::string& key);
 std::optional<std::uint32_t> parse_slot_key(const std::string& key);
+/// The job, where this is the record of a live one that is cancelled.
+std::optional<std::string> cancelled_job(const std::string& key, const Value& v);
 
 /// Tasks per block so that the worst block (every task alone in its own claim) keeps within the value limit.
 std::uint32_t block_size(double value_kb);
--- a/src/records/records.cpp
+++ b/src/records/records.cpp
@@ -29,6 +29,10 @@
   return key.substr(4);
 }
 
+std::optional<std::string> cancelled_job(const std::string& key, const Value& v) {
+  return v["wd"].boolean().value_or(false) ? parse_job_key(key) : std::nullopt;
+}
+
 std::optional<std::uint32_t> parse_slot_key(const std::string& key) {
   static const std::string prefix = "claims/";
   if (!key.starts_with(prefix)) return std::nullopt;
--- a/src/standby/copy.cpp
+++ b/src/standby/copy.cpp
@@ -61,7 +61,7 @@
   running_ = false;
   data_ = {};
   // With the data goes the word that it is all there.
-  for (Part& p : parts_) p = {p.prefix, 0, {}, {}, false, {}};
+  for (Part& p : parts_) p = {p.prefix, 0, {}, {}, false, {}, {}};
 }
 
 bool Copy::whole() const {
@@ -84,6 +84,7 @@
 }
 
 void Copy::fill(Part& p) {
+  if (!p.first) p.asked = rt_.now();
   store_.list(p.prefix, p.from, kPage, Store::Urgent::spare,
               [this, &p, generation = generation_](const Read& page) {
                 if (generation != generation_) return;
@@ -120,15 +121,32 @@
   p.filled = true;
   p.reached = *p.first;
   p.at = rt_.now();
+  if (&p == &parts_[0] && on_jobs) {
+    std::vector<std::string> cancelled;
+    for (const auto& [ref, root] : data_.jobs) {
+      if (root.rec.withdrawn) cancelled.push_back(ref);
+    }
+    on_jobs(p.asked, std::move(cancelled));
+  }
   follow(p);
   if (&p == &parts_[0]) fill(parts_[1]);
 }
 
+void Copy::tell_jobs(const Part& p, Instant asked, const std::vector<Row>& puts) {
+  if (&p != &parts_[0] || !on_jobs) return;
+  std::vector<std::string> cancelled;
+  for (const Row& row : puts) {
+    if (auto ref = records::cancelled_job(row.key, row.value)) cancelled.push_back(std::move(*ref));
+  }
+  on_jobs(asked, std::move(cancelled));
+}
+
 void Copy::follow(Part& p) {
   store_.follow(p.prefix, p.reached, kHold, Store::Urgent::spare,
-                [this, &p, generation = generation_](const FollowReply& f) {
+                [this, &p, generation = generation_, asked = rt_.now()](const FollowReply& f) {
                   if (generation != generation_ || !take(p, f)) return;
                   const bool good = f.result == FollowReply::Result::ok;
+                  if (good) tell_jobs(p, asked, f.puts);
                   rt_.after(good ? pause() : kRetry, [this, &p, generation] {
                     if (generation == generation_) follow(p);
                   });
--- a/src/standby/include/wrenusher/standby/copy.hpp
+++ b/src/standby/include/wrenusher/standby/copy.hpp
@@ -43,6 +43,10 @@
   /// time. Stops. `least`: the revision that it must have reached.
   void hand_over(std::uint64_t least, std::function<void(std::shared_ptr<records::Snapshot>)> done);
 
+  /// The state service was asked then, and these live jobs are cancelled; all others that are were told
+  /// before, by this copy or one of before it.
+  std::function<void(Instant asked, std::vector<std::string> cancelled)> on_jobs;
+
   std::size_t jobs() const { return data_.jobs.size(); }
   std::size_t slots() const { return data_.slots.size(); }
 
@@ -54,10 +58,12 @@
     std::optional<std::uint64_t> first;  ///< revision of the first page
     std::string from;                    ///< the next page begins after this key
     bool filled = false;
-    Instant at{};  ///< when it was last known to have reached that
+    Instant at{};     ///< when it was last known to have reached that
+    Instant asked{};  ///< when the first page was
   };
   void fill(Part& p);
   void take_page(Part& p, const Read& page);
+  void tell_jobs(const Part& p, Instant asked, const std::vector<Row>& puts);
   void follow(Part& p);
   bool take(Part& p, const FollowReply& f);
   void doubt(const char* why);
@@ -70,7 +76,8 @@
   /// Rises with every beginning and end: what belongs to an earlier one is dropped when it comes.
   std::uint64_t generation_ = 0;
   records::Snapshot data_;
-  std::array<Part, 2> parts_ = {Part{"job/", 0, {}, {}, false, {}}, Part{"claims/", 0, {}, {}, false, {}}};
+  std::array<Part, 2> parts_ = {Part{"job/", 0, {}, {}, false, {}, {}},
+                                Part{"claims/", 0, {}, {}, false, {}, {}}};
 };
 
 }  // namespace wrenusher::standby
--- a/src/standby/include/wrenusher/standby/standby.hpp
+++ b/src/standby/include/wrenusher/standby/standby.hpp
@@ -36,6 +36,7 @@
   Sink<Readiness> readiness;
   Sink<std::shared_ptr<const Inheritance>> inherited;
   Sink<RecordsCopied> copied;
+  Sink<CancellationsRead> cancellations_read;
 
  private:
   /// What a peer said of itself.
--- a/src/standby/standby.cpp
+++ b/src/standby/standby.cpp
@@ -35,6 +35,9 @@
 
 void Standby::start() {
   if (!settings_.stands_by()) return;
+  copy_.on_jobs = [this](Instant asked, std::vector<std::string> cancelled) {
+    cancellations_read(CancellationsRead{asked, std::move(cancelled)});
+  };
   copy_.begin();
   tick();
 }
--- /dev/null
+++ b/tests/cancelled_test.cpp
@@ -0,0 +1,415 @@
+// Cancelled work is gone within cancel_s, whatever the leader cannot know: the state service refuses the
+// leader alone, another controller confirms cancellations, and then the state service is away for longer than
+// that while workers keep reporting to the old leader.
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <algorithm>
+
+#include "judged.hpp"
+#include "wrenusher/membership/cancellations.hpp"
+
+using namespace wrenusher::lab;
+using namespace wrenusher::protocol;
+using wrenusher::membership::Cancellations;
+
+namespace {
+
+std::string name_of(int controller) {
+  return "c" + std::to_string(controller);
+}
+
+/// Longer than cancel_s, with a lease besides.
+constexpr double kLongOutage = 75;
+
+/// Long tasks on many machines under a leader; cancellations are confirmed by controllers that are named.
+struct Gap {
+  World w;
+  int leader = -1;
+  int next = -1;  ///< the other two
+  int third = -1;
+  std::vector<std::string> refs;
+
+  explicit Gap(std::uint64_t seed, int jobs = 14, Settings site = World::small_site())
+      : w(seed, std::move(site), 6) {
+    for (int i = 0; i < jobs; ++i) {
+      JobSpec s = World::job(i, 1 + static_cast<std::uint32_t>(i % 3), 2, 400);
+      if (i % 5 == 3) s.shape = Shape::gang, s.same_place = true;
+      if (i % 5 == 4) s.shape = Shape::daemon, s.expected = {};
+      refs.push_back(s.ref);
+      w.submit(s);
+    }
+    w.run(from_seconds(45));
+    leader = w.leader();
+    next = (leader + 1) % 3;
+    third = (leader + 2) % 3;
+  }
+
+  /// What the job's user asks, at that controller alone; again, until it is confirmed.
+  void withdraw(int controller, const std::string& ref) {
+    w.checker.asked_withdraw(ref);
+    w.tell(controller, {"POST", "/submissions/" + ref + "/withdraw", {}},
+           [this, ref, asked = w.now()](const wrenusher::base::Outcome& o) {
+             const std::string state = state_in(o);
+             w.checker.answered_withdraw(w.now(), ref, o.answered ? o.response.status : 0, state, asked);
+             if (state != "withdrawn") return;
+             ++confirmations;
+             told_by_next.insert(ref);
+           });
+  }
+  static std::string state_in(const wrenusher::base::Outcome& o) {
+    const auto v = o.answered ? decode(o.response.body) : std::nullopt;
+    return v && (*v)["status"].text() != nullptr ? *(*v)["status"].text() : "";
+  }
+  void outage(double seconds) {
+    w.state_outage(true);
+    w.at(from_seconds(seconds), [this] { w.state_outage(false); });
+  }
+  void refuse_leader(double seconds) {
+    w.state_refuses(leader, true);
+    w.at(from_seconds(seconds), [this, l = leader] { w.state_refuses(l, false); });
+  }
+  /// All that is on machines.
+  std::set<std::pair<std::string, std::uint32_t>> on_machines() const {
+    std::set<std::pair<std::string, std::uint32_t>> out;
+    for (const std::string& h : w.hosts()) {
+      for (const auto& u : w.units_on(h)) out.insert(u);
+    }
+    return out;
+  }
+  int confirmations = 0;
+  std::set<std::string> told_by_next;  ///< by the controller that was asked to cancel
+};
+
+/// A way in which the leader does not learn of what `next` confirms; called as the refusal begins.
+struct Way {
+  const char* name;
+  std::function<void(Gap& g)> strike;
+};
+
+/// Cancels half the jobs at a controller.
+void cancel_half(Gap& g, int controller) {
+  for (std::size_t i = 0; i < g.refs.size(); i += 2) g.withdraw(controller, g.refs[i]);
+}
+
+std::vector<Way> ways() {
+  const auto cut = [](Gap& g) { g.w.cut(name_of(g.leader), name_of(g.next), Cut::reset); };
+  return {
+      {"nothing besides", [](Gap& g) { cancel_half(g, g.next); }},
+      {"confirmed by both others",
+       [](Gap& g) {
+         for (std::size_t i = 0; i < g.refs.size(); i += 2)
+           g.withdraw(i % 4 == 0 ? g.next : g.third, g.refs[i]);
+       }},
+      {"the node that confirms ends, and nobody hears of it",
+       [cut](Gap& g) {
+         cut(g);
+         cancel_half(g, g.next);
+         g.w.at(millis(100), [&g] { g.w.crash(g.next, from_seconds(300)); });
+       }},
+      {"it is back within a fraction of a second",
+       [cut](Gap& g) {
+         cut(g);
+         cancel_half(g, g.next);
+         g.w.at(millis(100), [&g] { g.w.crash(g.next, from_seconds(g.w.uniform(0.05, 0.9))); });
+         g.w.at(from_seconds(1), [&g] { g.w.heal(); });
+       }},
+      {"it is cut off for good",
+       [cut](Gap& g) {
+         cut(g);
+         cancel_half(g, g.next);
+       }},
+      {"it stands still",
+       [cut](Gap& g) {
+         cut(g);
+         cancel_half(g, g.next);
+         g.w.at(millis(100), [&g] {
+           g.w.stall(g.next, from_seconds(120));
+           g.w.heal();
+         });
+       }},
+      {"a poll tells first, of a cancellation whose answer was lost",
+       [](Gap& g) {
+         for (std::size_t i = 0; i < g.refs.size(); ++i) {
+           g.w.at(millis(10 * static_cast<std::int64_t>(i)), [&g, i] {
+             g.w.heal();
+             g.withdraw(g.next, g.refs[i]);
+             // It reads the job, and what it then writes is executed without an answer, for some of them.
+             g.w.at(millis(4), [&g] { g.w.cut_one_way("state", name_of(g.next), Cut::reset); });
+           });
+         }
+         g.w.at(millis(250), [&g] {
+           for (const std::string& ref : g.refs) {
+             if (g.w.told(ref) == "withdrawn" || g.told_by_next.contains(ref)) continue;
+             g.w.tell(g.third, {"GET", "/submissions/" + ref, {}},
+                      [&g, ref, asked = g.w.now()](const wrenusher::base::Outcome& o) {
+                        const std::string state = Gap::state_in(o);
+                        if (state != "withdrawn") return;
+                        ++g.confirmations;
+                        g.w.checker.answered_poll(g.w.now(), ref, o.response.status, state, asked);
+                      });
+           }
+         });
+       }},
+      {"the leader ends as well",
+       [cut](Gap& g) {
+         cut(g);
+         cancel_half(g, g.next);
+         g.w.at(from_seconds(0.15), [&g] { g.w.crash(g.leader, from_seconds(g.w.uniform(0.05, 0.9))); });
+       }},
+      {"its state service is back for a second and away again",
+       [cut](Gap& g) {
+         cut(g);
+         cancel_half(g, g.next);
+         g.w.at(millis(100), [&g] { g.w.crash(g.next, from_seconds(300)); });
+         g.w.at(from_seconds(20), [&g] { g.w.state_outage(false); });
+         g.w.at(from_seconds(21), [&g] { g.outage(kLongOutage); });
+       }},
+  };
+}
+
+}  // namespace
+
+class GapWays : public testing::TestWithParam<std::tuple<std::size_t, double>> {};
+
+TEST_P(GapWays, TasksAreGoneInTime) {
+  const auto [n, until_outage] = GetParam();
+  const Way way = ways()[n];
+  for (std::uint64_t seed = 1; seed <= 2; ++seed) {
+    Gap g(seed * 100 + n);
+    ASSERT_GE(g.leader, 0);
+    const std::size_t before = g.on_machines().size();
+    ASSERT_GE(before, 12U) << way.name;
+    g.refuse_leader(14);
+    g.w.run(millis(50));
+    way.strike(g);
+    g.w.run(from_seconds(until_outage));
+    g.outage(kLongOutage);
+    g.w.run(from_seconds(kLongOutage + 20));
+    EXPECT_GE(g.confirmations, 5) << way.name;
+    EXPECT_TRUE(g.w.checker.broken().empty())
+        << way.name << ", outage after " << until_outage << " s, seed " << seed << "\n"
+        << notes(g.w);
+  }
+}
+
+INSTANTIATE_TEST_SUITE_P(Cancelled, GapWays,
+                         testing::Combine(testing::Range<std::size_t>(0, ways().size()),
+                                          testing::Values(0.7, 2.0)));
+
+// Up to 0.6 a node repeated its last 200 cancellations for 20 s, whether or not anybody had heard them.
+TEST(Cancelled, HundredsInTheSecondsBeforeAreAllToldOnceTheLinkIsBack) {
+  Settings site = World::small_site();
+  site.state_rps = 9000;
+  site.state_write_rps = 9000;
+  Gap g(7, 330, site);
+  ASSERT_GE(g.leader, 0);
+  g.w.cut(name_of(g.leader), name_of(g.next), Cut::reset);
+  g.refuse_leader(14);
+  // Those that run first: they are the ones that newer ones would push out.
+  std::set<std::string> running;
+  for (const auto& [ref, task] : g.on_machines()) running.insert(ref);
+  std::stable_partition(g.refs.begin(), g.refs.end(), [&](const auto& r) { return running.contains(r); });
+  for (std::size_t i = 0; i < g.refs.size(); ++i)
+    g.w.at(millis(static_cast<std::int64_t>(i)), [&g, i] { g.withdraw(g.next, g.refs[i]); });
+  g.w.run(from_seconds(0.6));
+  EXPECT_GE(g.confirmations, 300);
+  g.w.heal();
+  g.w.run(from_seconds(0.05));
+  g.outage(kLongOutage);
+  g.w.run(from_seconds(kLongOutage + 20));
+  expect_kept(g.w);
+}
+
+// The new leader answers with its token before it has read a record.
+TEST(Cancelled, ALeaderThatLosesTheStateServiceAsItsTermBeginsStopsWhatItKnowsAndLetsGoTheRest) {
+  for (const bool standby : {true, false}) {
+    for (std::uint64_t seed = 1; seed <= 3; ++seed) {
+      Gap g(40 + seed);
+      ASSERT_GE(g.leader, 0);
+      // The leader hears of it neither from the state service nor from the node that confirms, which is back
+      // at once; so nobody is left who knows, but the state service.
+      g.w.cut_one_way("state", name_of(g.leader), Cut::reset);
+      for (const int other : {g.leader, g.next}) g.w.cut(name_of(g.third), name_of(other), Cut::reset);
+      cancel_half(g, g.third);
+      g.w.run(millis(60));
+      const std::uint64_t term = g.w.terms();
+      g.w.crash(g.leader, from_seconds(300));
+      g.w.crash(g.third, millis(400));
+      if (!standby) g.w.crash(g.next, millis(300));  // so that neither has followed anything
+      g.w.heal();
+      for (int i = 0; i < 2000 && g.w.terms() == term; ++i) g.w.run(millis(5));
+      ASSERT_GT(g.w.terms(), term);
+      g.outage(kLongOutage);
+      g.w.run(from_seconds(kLongOutage + 20));
+      EXPECT_GE(g.confirmations, 5);
+      expect_kept(g.w);
+    }
+  }
+}
+
+// Letting everything go at each outage would keep the rule and lose the work.
+TEST(Cancelled, AnOutageThatAllShareWithNoNodeLostCostsNoTask) {
+  for (std::uint64_t seed = 1; seed <= 3; ++seed) {
+    Gap g(60 + seed);
+    const auto before = g.on_machines();
+    const std::size_t starts = g.w.checker.starts();
+    ASSERT_GE(before.size(), 12U);
+    g.outage(kLongOutage * 2);
+    g.w.run(from_seconds(kLongOutage * 2 + 15));
+    EXPECT_EQ(g.w.checker.starts(), starts) << "seed " << seed;
+    EXPECT_EQ(g.on_machines(), before) << "seed " << seed;
+    expect_kept(g.w);
+  }
+}
+
+namespace {
+
+Instant at(int ms) {
+  return Instant{} + from_seconds(100) + millis(ms);
+}
+
+Value beat(std::uint64_t life, std::uint64_t from, std::uint64_t last, std::vector<std::string> refs) {
+  Value::List rows;
+  for (const std::string& r : refs) rows.emplace_back(r);
+  return Value::Map{{"withdrawn", std::move(rows)},
+                    {"log", Value::List{life, from, last}},
+                    {"got", Value::List{std::uint64_t{0}, std::uint64_t{0}}}};
+}
+
+}  // namespace
+
+// The proof's cases one by one.
+TEST(Cancelled, WhatIsKnownGrowsByAnswersAloneAndStopsWithAnotherLifeOrAGap) {
+  Cancellations c(5, {"c1"});
+  c.begin(at(0), from_seconds(30));
+  EXPECT_EQ(c.through(), Cancellations::kNever);  // an earlier life of its own may have told anything
+  c.on_read(at(10));
+  EXPECT_EQ(c.through(), at(10));
+  // A word that came by itself proves nothing of when it was said; another life owes what came before it.
+  EXPECT_EQ(c.take("c1", beat(9, 1, 1, {"req-1"}), std::nullopt, at(20)).refs.size(), 1U);
+  EXPECT_EQ(c.through(), at(10));
+  c.take("c1", beat(9, 2, 2, {"req-2"}), at(30), at(31));
+  EXPECT_EQ(c.through(), at(10));
+  c.on_read(at(25));
+  EXPECT_EQ(c.through(), at(30));  // of that life all was told, of earlier ones the state service had it
+  c.take("c1", beat(9, 3, 3, {}), at(40), at(41));
+  EXPECT_EQ(c.through(), at(30));  // one is open
+  c.take("c1", beat(9, 3, 3, {"req-3"}), at(50), at(51));
+  EXPECT_EQ(c.through(), at(50));
+  // A part is missing, and later a new life: neither grows before the state service was asked since.
+  c.take("c1", beat(9, 6, 6, {"req-6"}), at(60), at(61));
+  EXPECT_EQ(c.through(), at(50));
+  c.on_read(at(60));
+  EXPECT_EQ(c.through(), at(60));  // by the state service alone
+  c.take("c1", beat(9, 7, 6, {}), at(70), at(71));
+  EXPECT_EQ(c.through(), at(60));
+  c.on_read(at(62));
+  EXPECT_EQ(c.through(), at(70));
+  c.take("c1", beat(11, 1, 0, {}), at(80), at(81));
+  EXPECT_EQ(c.through(), at(70));
+  c.on_read(at(81));
+  EXPECT_EQ(c.through(), at(81));
+}
+
+TEST(Cancelled, AListThatContradictsItselfIsRefusedAsAWholeAndNeverConfirmed) {
+  Cancellations c(5, {"c1"});
+  c.begin(at(0), from_seconds(30));
+  c.on_read(at(1));
+  c.take("c1", beat(9, 1, 2, {"req-1", "req-2"}), at(2), at(3));
+  c.on_read(at(4));
+  const auto got = [&] {
+    Value::Map out;
+    c.write("c1", out);
+    return encode(Value(std::move(out)));
+  };
+  const std::string before = got();
+  const auto with = [](const char* field, Value v) {
+    Value::Map m = *beat(9, 3, 3, {"req-3"}).map();
+    for (auto& [k, x] : m)
+      if (k == field) x = std::move(v);
+    return Value(std::move(m));
+  };
+  for (const Value& bad :
+       {with("withdrawn", Value("req-3")), with("withdrawn", Value::List{std::uint64_t{7}}),
+        with("withdrawn", Value::List{Value("no such ref!")}), with("log", Value("x")),
+        with("log", Value::List{std::uint64_t{9}, std::uint64_t{3}}), beat(0, 3, 3, {"req-3"}),
+        beat(9, 0, 3, {"req-3"}), beat(9, 3, 2, {"req-3"}), beat(9, 1, 1, {"req-1"}),
+        with("got", Value::List{std::uint64_t{5}, std::uint64_t{1}}), with("got", Value("x"))}) {
+    const auto t = c.take("c1", bad, at(50), at(51));
+    EXPECT_FALSE(t.fault.empty());
+    EXPECT_TRUE(t.refs.empty());
+    EXPECT_EQ(got(), before);
+    EXPECT_EQ(c.through(), at(4));
+  }
+  // Of 0.6: known, but not counted.
+  EXPECT_EQ(c.take("c1", Value::Map{{"withdrawn", Value::List{Value("req-8")}}}, at(60), at(61)).refs.size(),
+            1U);
+  EXPECT_EQ(got(), before);
+  EXPECT_EQ(c.through(), at(4));
+}
+
+// Two nodes whose words are lost, late, repeated and of several lives: whatever one says that it knows
+// through, it was handed all that the other had told before.
+RC_GTEST_PROP(Cancelled, WhatIsSaidToBeKnownIsKnownWhateverBecomesOfTheWords, ()) {
+  std::uint64_t life = 100;
+  auto teller = std::make_unique<Cancellations>(++life, std::vector<std::string>{"b"});
+  Cancellations hearer(7, {"a"});
+  int ms = 0;
+  teller->begin(at(0), from_seconds(1000));
+  hearer.begin(at(0), from_seconds(1000));
+  std::vector<std::pair<Instant, std::string>> told;
+  std::set<std::string> stored;
+  std::set<std::string> heard;
+  struct Word {
+    std::optional<Instant> asked;
+    Value value;
+  };
+  std::vector<Word> way;
+  for (int i = *rc::gen::inRange(10, 120); i > 0; --i) {
+    ms += 10;
+    switch (*rc::gen::inRange(0, 8)) {
+      case 0:
+      case 1: {
+        const std::string ref = "req-" + std::to_string(1000 + ms);
+        stored.insert(ref);
+        teller->tell(ref, at(ms));
+        told.emplace_back(at(ms), ref);
+        break;
+      }
+      case 2: {  // ends, and is back
+        teller = std::make_unique<Cancellations>(++life, std::vector<std::string>{"b"});
+        teller->begin(at(ms), from_seconds(1000));
+        break;
+      }
+      case 3: {  // the state service answers
+        heard.insert(stored.begin(), stored.end());
+        hearer.on_read(at(ms));
+        break;
+      }
+      case 4: {  // the hearer says what it has
+        Value::Map out;
+        hearer.write("a", out);
+        teller->take("b", Value(std::move(out)), std::nullopt, at(ms));
+        break;
+      }
+      default: {  // a word goes out, or comes
+        Value::Map out;
+        teller->write("b", out);
+        const bool answer = *rc::gen::inRange(0, 2) == 0;
+        way.push_back({answer ? std::optional(at(ms)) : std::nullopt, Value(std::move(out))});
+        break;
+      }
+    }
+    while (!way.empty() && *rc::gen::inRange(0, 3) != 0) {
+      const auto n = static_cast<std::size_t>(*rc::gen::inRange(0, static_cast<int>(way.size())));
+      const Word word = way[n];
+      if (*rc::gen::inRange(0, 4) != 0) way.erase(way.begin() + static_cast<std::ptrdiff_t>(n));
+      for (std::string& r : hearer.take("a", word.value, word.asked, at(ms)).refs) heard.insert(std::move(r));
+    }
+    for (const auto& [when, ref] : told) {
+      if (when < hearer.through()) RC_ASSERT(heard.contains(ref));
+    }
+  }
+}
