--- a/lab/models/include/wrenusher/lab/site.hpp
+++ b/lab/models/include/wrenusher/lab/site.hpp
@@ -73,6 +73,7 @@
   std::string name;
   Settings settings;  ///< of the cluster; addresses and names are the driver's
   std::vector<MachineType> types;
+  int controllers = 3;  ///< in simulated days
   int machines = 0;  ///< up at the start, ordinary ones of the first type, spread over its zones
   std::vector<JobClass> classes;
   std::vector<TroubleSpec> troubles;
--- a/lab/sim/include/wrenusher/lab/world.hpp
+++ b/lab/sim/include/wrenusher/lab/world.hpp
@@ -76,6 +76,8 @@
   World& operator=(const World&) = delete;
 
   static Settings small_site();
+  /// Three controllers, two types of machine.
+  static Site default_site(Settings settings);
   static JobSpec job(int number, std::uint32_t units, double cores, double run_s);
 
   void run(Micros how_long) { wires_.run(how_long); }
--- a/lab/sim/world.cpp
+++ b/lab/sim/world.cpp
@@ -6,7 +6,6 @@
 
 namespace {
 
-constexpr int kControllers = 3;
 constexpr Micros kWatch = millis(100);
 constexpr Micros kAgreeEvery = from_seconds(1);
 constexpr Micros kRoomEvery = from_seconds(2);
@@ -25,39 +24,15 @@
   return "10.0.0." + std::to_string(i + 1) + ":8081";
 }
 
-Site default_site(Settings settings) {
-  Site s;
-  s.name = "small";
-  s.settings = std::move(settings);
-  const auto type = [](const char* name, double cores, double cards, double memory, double cache, double rate,
-                       double low, double boot, std::vector<std::string> zones, int spot, int ordinary) {
-    MachineType t;
-    t.flavor = {name,
-                {to_amount(cores), to_amount(cards), to_amount(memory)},
-                cache,
-                1,
-                rate,
-                low,
-                from_seconds(boot),
-                std::move(zones)};
-    t.spot = spot;
-    t.ordinary = ordinary;
-    return t;
-  };
-  s.types = {type("small", 16, 0, 64, 30, 1, 0.3, 8, {"a", "b"}, 6, 3),
-             type("large", 64, 4, 256, 50, 4, 1.1, 12, {"a"}, 3, 2)};
-  return s;
-}
-
-std::vector<std::pair<std::string, Endpoint>> controllers() {
+std::vector<std::pair<std::string, Endpoint>> controllers(int n) {
   std::vector<std::pair<std::string, Endpoint>> out;
-  for (int i = 0; i < kControllers; ++i) out.emplace_back(name_of(i), client_of(i));
+  for (int i = 0; i < n; ++i) out.emplace_back(name_of(i), client_of(i));
   return out;
 }
 
-std::vector<Endpoint> clients() {
+std::vector<Endpoint> clients(int n) {
   std::vector<Endpoint> out;
-  for (int i = 0; i < kControllers; ++i) out.push_back(client_of(i));
+  for (int i = 0; i < n; ++i) out.push_back(client_of(i));
   return out;
 }
 
@@ -110,6 +85,30 @@
       : name(n), runtime(wires, n, drift), controller(runtime, s, std::move(reader)) {}
 };
 
+Site World::default_site(Settings settings) {
+  Site s;
+  s.name = "small";
+  s.settings = std::move(settings);
+  const auto type = [](const char* name, double cores, double cards, double memory, double cache, double rate,
+                       double low, double boot, std::vector<std::string> zones, int spot, int ordinary) {
+    MachineType t;
+    t.flavor = {name,
+                {to_amount(cores), to_amount(cards), to_amount(memory)},
+                cache,
+                1,
+                rate,
+                low,
+                from_seconds(boot),
+                std::move(zones)};
+    t.spot = spot;
+    t.ordinary = ordinary;
+    return t;
+  };
+  s.types = {type("small", 16, 0, 64, 30, 1, 0.3, 8, {"a", "b"}, 6, 3),
+             type("large", 64, 4, 256, 50, 4, 1.1, 12, {"a"}, 3, 2)};
+  return s;
+}
+
 Settings World::small_site() {
   Settings s;
   s.zones = {"a", "b"};
@@ -153,10 +152,10 @@
       state_(wires_, limits_of(site_.settings), std::make_unique<MemoryKeep>()),
       machines_(wires_, site_, checker),
       cloud_(wires_, site_, machines_, scale),
-      balancer_(wires_, clients()),
+      balancer_(wires_, clients(site_.controllers)),
       users_(wires_, balancer_, machines_, checker) {
   wires_.links.zone_of = [this](const std::string& name) -> std::string {
-    for (int i = 0; i < kControllers; ++i) {
+    for (int i = 0; i < site_.controllers; ++i) {
       if (name == name_of(i))
         return site_.settings.zones[static_cast<std::size_t>(i) % site_.settings.zones.size()];
     }
@@ -168,10 +167,10 @@
   wires_.serve_at(kCloud, "cloud", [this](const std::string& from, const Request& r, const Answer& a) {
     cloud_.serve(from, r, a);
   });
-  machines_.controllers(controllers());
+  machines_.controllers(controllers(site_.controllers));
   cloud_.furnish();
-  nodes_.resize(kControllers);
-  for (int i = 0; i < kControllers; ++i) start_node(i);
+  nodes_.resize(static_cast<std::size_t>(site_.controllers));
+  for (int i = 0; i < site_.controllers; ++i) start_node(i);
   balancer_.start();
   machines_.start();
   watch();
@@ -188,7 +187,7 @@
   s.peer_listen = peer_of(i);
   s.state = kState;
   s.cloud = kCloud;
-  for (int k = 0; k < kControllers; ++k) {
+  for (int k = 0; k < site_.controllers; ++k) {
     if (k != i)
       s.peers.push_back({name_of(k), s.zones[static_cast<std::size_t>(k) % s.zones.size()], peer_of(k)});
   }
@@ -281,7 +280,7 @@
 
 void World::isolate(const std::string& who, Cut how, const std::set<std::string>& but) {
   std::set<std::string> others{"state", "cloud", "user"};
-  for (int i = 0; i < kControllers; ++i) others.insert(name_of(i));
+  for (int i = 0; i < site_.controllers; ++i) others.insert(name_of(i));
   for (const std::string& host : machines_.up()) others.insert(host);
   others.erase(who);
   for (const std::string& o : others) {
@@ -291,13 +290,13 @@
 
 void World::leave_alone(int controller, Cut how) {
   cut(name_of(controller), "state", how);
-  for (int i = 0; i < kControllers; ++i) {
+  for (int i = 0; i < site_.controllers; ++i) {
     if (i != controller) cut(name_of(controller), name_of(i), how);
   }
 }
 
 void World::deafen(const std::string& host, Cut how) {
-  for (int i = 0; i < kControllers; ++i) cut_one_way(name_of(i), host, how);
+  for (int i = 0; i < site_.controllers; ++i) cut_one_way(name_of(i), host, how);
 }
 
 mail::Readiness World::ready(int controller) const {
@@ -323,11 +322,11 @@
 }
 
 int World::controller(const std::string& whom) {
-  for (int i = 0; i < kControllers; ++i) {
+  for (int i = 0; i < site_.controllers; ++i) {
     if (whom == name_of(i)) return i;
   }
   if (whom == "leader" && leader() >= 0) return leader();
-  return pick(kControllers);
+  return pick(site_.controllers);
 }
 
 void World::strike(const TroubleSpec& t) {
@@ -341,9 +340,9 @@
   if (t.what == "controller_crash") {
     crash(controller(t.whom), t.lasts);
   } else if (t.what == "all_crash") {
-    for (int i = 0; i < kControllers; ++i) crash(i, t.lasts);
+    for (int i = 0; i < site_.controllers; ++i) crash(i, t.lasts);
   } else if (t.what == "rolling_restart") {
-    for (int i = 0; i < kControllers; ++i) at(t.lasts * i, [this, i] { crash(i, from_seconds(3)); });
+    for (int i = 0; i < site_.controllers; ++i) at(t.lasts * i, [this, i] { crash(i, from_seconds(3)); });
   } else if (t.what == "controller_cut") {
     isolate(name_of(controller(t.whom)), pick(2) == 0 ? Cut::hold : Cut::reset);
     ends([this] { heal(); });
--- a/tests/cancelled_test.cpp
+++ b/tests/cancelled_test.cpp
@@ -6,6 +6,7 @@
 #include <rapidcheck/gtest.h>
 
 #include <algorithm>
+#include <cstdlib>
 
 #include "judged.hpp"
 #include "wrenusher/membership/cancellations.hpp"
@@ -31,8 +32,9 @@
   int third = -1;
   std::vector<std::string> refs;
 
-  explicit Gap(std::uint64_t seed, int jobs = 14, Settings site = World::small_site())
-      : w(seed, std::move(site), 6) {
+  explicit Gap(std::uint64_t seed, int jobs = 14, Settings settings = World::small_site(),
+               int controllers = 3)
+      : w(seed, with(World::default_site(std::move(settings)), controllers), 6) {
     for (int i = 0; i < jobs; ++i) {
       JobSpec s = World::job(i, 1 + static_cast<std::uint32_t>(i % 3), 2, 400);
       if (i % 5 == 3) s.shape = Shape::gang, s.same_place = true;
@@ -42,8 +44,12 @@
     }
     w.run(from_seconds(45));
     leader = w.leader();
-    next = (leader + 1) % 3;
-    third = (leader + 2) % 3;
+    next = (leader + 1) % controllers;
+    third = (leader + 2) % controllers;
+  }
+  static Site with(Site s, int controllers) {
+    s.controllers = controllers;
+    return s;
   }
 
   /// What the job's user asks, at that controller alone; again, until it is confirmed.
@@ -198,6 +204,118 @@
                          testing::Combine(testing::Range<std::size_t>(0, ways().size()),
                                           testing::Values(0.7, 2.0)));
 
+namespace {
+
+/// Draws a gap, and tells what it drew.
+std::string strike_drawn(Gap& g, int controllers) {
+  World& w = g.w;
+  std::string story;
+  const auto chance = [&](double p) { return w.uniform(0, 1) < p; };
+  const auto say = [&](const std::string& what, double s) {
+    story += what + " at " + std::to_string(s).substr(0, 5) + " s, ";
+  };
+  /// What becomes of a controller.
+  const auto fate = [&](int c, double from, double to) {
+    const double s = w.uniform(from, to);
+    const int kind = w.pick(6);
+    if (kind >= 4) return;
+    const char* names[] = {" ends", " is back soon", " flickers", " stands still"};
+    say(name_of(c) + names[kind], s);
+    w.at(from_seconds(s), [&w, c, kind] {
+      const int again = kind == 2 ? 4 : 1;
+      for (int i = 0; i < again && kind < 3; ++i) {
+        w.at(from_seconds(1.1 * i), [&w, c, kind] {
+          w.crash(c, kind == 0 ? from_seconds(300) : from_seconds(w.uniform(0.05, 0.9)));
+        });
+      }
+      if (kind == 3) w.stall(c, from_seconds(w.uniform(2, 70)));
+    });
+  };
+  const int confirms = chance(0.8) ? g.next : g.leader;
+  say(name_of(g.leader) + " leads, " + name_of(confirms) + " confirms", 0);
+  if (chance(0.7)) {
+    say("the leader is refused", 0);
+    g.refuse_leader(w.uniform(3, 20));
+  }
+  if (controllers > 1 && chance(0.7)) {
+    const int other = confirms == g.leader ? g.next : g.leader;
+    const Cut how = chance(0.5) ? Cut::reset : Cut::hold;
+    const bool both = chance(0.6);
+    say(both ? "their link is cut" : "their link is cut one way", 0);
+    if (both) {
+      w.cut(name_of(confirms), name_of(other), how);
+    } else {
+      w.cut_one_way(name_of(chance(0.5) ? confirms : other), name_of(other), how);
+    }
+    if (controllers > 2 && chance(0.3)) w.cut(name_of(confirms), name_of(g.third), how);
+    const double heals = w.uniform(0.3, 40);
+    say("links are whole", heals);
+    w.at(from_seconds(heals), [&w] { w.heal(); });
+  }
+  for (std::size_t i = 0; i < g.refs.size(); i += 2)
+    w.at(from_seconds(w.uniform(0, 0.4)), [&g, i, confirms] { g.withdraw(confirms, g.refs[i]); });
+  const double outages[] = {0.2, 0.7, 2, 10};
+  const double away = outages[w.pick(4)] + w.uniform(0, 0.3);
+  fate(confirms, 0.05, away + 1);
+  fate(g.leader, -0.0, away + 15);
+  if (chance(0.3)) {
+    const std::vector<std::string> hosts = w.hosts();
+    const std::string host = hosts[static_cast<std::size_t>(w.pick(static_cast<int>(hosts.size())))];
+    say(host + " is deaf", 0);
+    w.deafen(host, Cut::reset);
+  }
+  if (chance(0.3)) {
+    const std::vector<std::string> hosts = w.hosts();
+    const std::string host = hosts[static_cast<std::size_t>(w.pick(static_cast<int>(hosts.size())))];
+    const double lasts = w.uniform(2, 9);
+    say(host + " hangs for " + std::to_string(lasts), 0);
+    w.hang(host, from_seconds(lasts));
+  }
+  if (controllers > 1 && chance(0.3)) {
+    say("some workers don't reach the leader", 0);
+    for (const std::string& h : w.hosts()) {
+      if (w.pick(3) == 0) w.cut(name_of(g.leader), h, Cut::reset);
+    }
+  }
+  say("the state service is away", away);
+  w.at(from_seconds(away), [&g] { g.outage(kLongOutage); });
+  if (chance(0.4)) {
+    const double blip = away + w.uniform(5, 40);
+    say("and back for a second", blip);
+    w.at(from_seconds(blip), [&g] { g.w.state_outage(false); });
+    w.at(from_seconds(blip + 0.3), [&g, confirms] {
+      for (std::size_t i = 1; i < g.refs.size(); i += 4) g.withdraw(confirms, g.refs[i]);
+    });
+    w.at(from_seconds(blip + w.uniform(0.5, 1.5)), [&g] { g.outage(kLongOutage); });
+  }
+  return story;
+}
+
+}  // namespace
+
+// WRENUSHER_MEETINGS: how many are drawn; more than in CI's time is for long runs. A failure prints its seed.
+TEST(Cancelled, GapsThatAreDrawnKeepTheRules) {
+  const char* more = std::getenv("WRENUSHER_MEETINGS");
+  const char* first = std::getenv("WRENUSHER_SEED");
+  const std::uint64_t from = first != nullptr ? std::strtoull(first, nullptr, 10) : 1000;
+  const std::uint64_t days = more != nullptr ? std::strtoull(more, nullptr, 10) : 40;
+  std::size_t cancelled = 0;
+  for (std::uint64_t seed = from; seed < from + days; ++seed) {
+    const int controllers = seed % 8 == 0 ? 1 : seed % 4 == 1 ? 2 : 3;
+    Gap g(seed, 14, World::small_site(), controllers);
+    if (g.leader < 0) continue;
+    const std::string story = strike_drawn(g, controllers);
+    g.w.run(from_seconds(kLongOutage * 2 + 60));
+    g.w.heal();
+    g.w.run(from_seconds(30));
+    cancelled += static_cast<std::size_t>(g.confirmations);
+    EXPECT_TRUE(g.w.checker.broken().empty())
+        << "WRENUSHER_SEED=" << seed << " WRENUSHER_MEETINGS=1: " << story << "\n"
+        << notes(g.w).substr(0, 2000);
+  }
+  EXPECT_GE(cancelled, days);
+}
+
 // Up to 0.6 a node repeated its last 200 cancellations for 20 s, whether or not anybody had heard them.
 TEST(Cancelled, HundredsInTheSecondsBeforeAreAllToldOnceTheLinkIsBack) {
   Settings site = World::small_site();
