A read that comes after a newer one tells a user nothing older

The node told its user pending after it had told withdrawn or done. The state that is told is now the newest that this node has read.

--- a/src/desk/frontdesk.cpp
+++ b/src/desk/frontdesk.cpp
@@ -147,6 +147,14 @@
   return s;
 }
 
+/// The state of a live job that has just been read or compared. That answer may have passed newer ones on its
+/// way, by which this node has told more already.
+Frontdesk::State Frontdesk::newest(const std::string& ref) const {
+  if (const auto it = finals_.find(ref); it != finals_.end()) return it->second;
+  const auto it = known_.find(ref);
+  return live_state(ref, it != known_.end() && it->second.withdrawn);
+}
+
 /// The state of a job as the state service has it now. What was read before needs only to be compared, and
 /// many are compared in one request: with one for every poll, a few hundred users took all the requests a
 /// second there are.
@@ -194,7 +202,7 @@
   for (Check& a : asked) {
     const auto it = known_.find(a.ref);
     if (c.result == Commit::Result::committed && it != known_.end()) {
-      a.done(Found{false, live_state(a.ref, it->second.withdrawn)});
+      a.done(Found{false, newest(a.ref)});
     } else if (c.result == Commit::Result::conflict) {
       // What has changed is read anew; the rest is asked once more, since nothing says that it was compared.
       const bool failed = c.failed.empty() || std::find(c.failed.begin(), c.failed.end(),
@@ -221,7 +229,7 @@
     if (!live.rows.empty()) {
       const bool gone = live.rows[0].value["wd"].boolean().value_or(false);
       know(ref, {live.rows[0].stamp, gone});
-      done(Found{false, live_state(ref, gone)});
+      done(Found{false, newest(ref)});
       return;
     }
     store_.get(records::end_key(ref), Store::Urgent::user, [this, ref, done](Read end) {
--- a/src/desk/include/wrenusher/desk/frontdesk.hpp
+++ b/src/desk/include/wrenusher/desk/frontdesk.hpp
@@ -58,6 +58,7 @@
   void settle_checks(std::vector<Check> asked, const Commit& c);
   void know(const std::string& ref, const Known& k);
   State live_state(const std::string& ref, bool gone) const;
+  State newest(const std::string& ref) const;
   std::optional<Fault> never(const JobSpec& spec, const Team* team) const;
   void submit(const Request& request, const Answer& answer);
   void poll(const std::string& ref, const Answer& answer);
--- a/tests/meetings_test.cpp
+++ b/tests/meetings_test.cpp
@@ -6,10 +6,13 @@
 
 #include <cstdlib>
 
+#include "by_hand.hpp"
 #include "judged.hpp"
+#include "wrenusher/desk/frontdesk.hpp"
 
 using namespace wrenusher::lab;
 using namespace wrenusher::protocol;
+using wrenusher::base::ByHand;
 
 namespace {
 
@@ -110,3 +113,66 @@
     EXPECT_EQ(w.live(), 0U) << "WRENUSHER_SEED=" << seed << " WRENUSHER_MEETINGS=1: " << story;
   }
 }
+
+namespace {
+
+/// A node's answers to users, with the state service answered by hand.
+struct DeskByHand {
+  Settings settings = World::small_site();
+  ByHand rt;
+  wrenusher::store::Store store{rt, settings};
+  wrenusher::desk::Frontdesk desk{rt, settings, store};
+  std::vector<std::string> states;  ///< as told, in order
+  std::string ref = "req-000001";
+
+  void poll() {
+    desk.serve({"GET", "/submissions/" + ref, {}}, [this](const Response& r) {
+      const auto v = decode(r.body);
+      const std::string* s = v ? (*v)["status"].text() : nullptr;
+      states.push_back(r.status == 200 && s != nullptr ? *s : std::to_string(r.status));
+    });
+  }
+  /// The one call that is under way; it is answered when the caller likes.
+  ByHand::Call sent() {
+    for (int i = 0; i < 50 && rt.calls.empty(); ++i) rt.pass(millis(10));
+    EXPECT_EQ(rt.calls.size(), 1U);
+    ByHand::Call c = std::move(rt.calls.front());
+    rt.calls.clear();
+    return c;
+  }
+  static void answer(const ByHand::Call& c, int status, const Value& body) {
+    c.done({true, true, {status, encode(body), 0}});
+  }
+  Value live(std::uint64_t stamp, bool cancelled) const {
+    Value record = wrenusher::records::new_job(World::job(0, 1, 1, 10), {}, 100);
+    if (cancelled) record = wrenusher::records::withdrawn(record);
+    return Value::Map{{"k", "job/" + ref}, {"value", record}, {"stamp", stamp}};
+  }
+  static Value none(std::uint64_t revision) { return Value::Map{{"ledger_rev", revision}}; }
+};
+
+}  // namespace
+
+// A slow state service: an answer to one question passes that to an earlier one. What a node has told must
+// not be followed by what it read before.
+TEST(Meetings, AReadThatComesAfterANewerOneTellsNothingOlder) {
+  for (const bool ended : {false, true}) {
+    DeskByHand d;
+    d.poll();
+    const auto slow = d.sent();
+    d.poll();
+    const auto quick = d.sent();
+    if (ended) {
+      DeskByHand::answer(quick, 404, DeskByHand::none(9));
+      DeskByHand::answer(d.sent(), 200,
+                         Value::Map{{"k", "end/" + d.ref},
+                                    {"value", wrenusher::records::new_end("done", 1)},
+                                    {"stamp", std::uint64_t{9}}});
+    } else {
+      DeskByHand::answer(quick, 200, d.live(9, true));
+    }
+    DeskByHand::answer(slow, 200, d.live(5, false));
+    const std::string told = ended ? "done" : "withdrawn";
+    EXPECT_EQ(d.states, (std::vector<std::string>{told, told}));
+  }
+}
--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -5,10 +5,12 @@
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
+#include "by_hand.hpp"
 #include "judged.hpp"
 
 using namespace wrenusher::lab;
 using namespace wrenusher::protocol;
+using wrenusher::base::ByHand;
 
 namespace {
 
@@ -232,39 +234,6 @@
   EXPECT_EQ(next({}, 1, false), 0);
 }
 
-namespace {
-
-/// A node whose clock stands until it is moved, and whose calls are answered by hand.
-class ByHand : public Runtime {
- public:
-  struct Call {
-    Request request;
-    Done done;
-  };
-  Instant at = Instant{} + from_seconds(50);
-  std::vector<Call> calls;
-
-  Instant now() const override { return at; }
-  WallTime wall() const override { return WallTime{} + from_seconds(50); }
-  std::mt19937_64& random() override { return random_; }
-  void post(std::function<void()> f) override { f(); }
-  void after(Micros delay, std::function<void()> f) override { timers_.emplace(at + delay, std::move(f)); }
-  void fetch(const Endpoint&, Request r, Micros, Done done) override {
-    calls.push_back({std::move(r), std::move(done)});
-  }
-  /// Moves the clock at one go, as for a node that stood still, and then runs what was due.
-  void pass(Micros time) {
-    at += time;
-    while (!timers_.empty() && timers_.begin()->first <= at) timers_.extract(timers_.begin()).mapped()();
-  }
-
- private:
-  std::mt19937_64 random_;
-  std::multimap<Instant, std::function<void()>> timers_;
-};
-
-}  // namespace
-
 // Heartbeats carried no order: one that came late could name a leader of long ago, or bring a peer back that
 // was gone.
 RC_GTEST_PROP(Heartbeats, AreTakenInTheirOrderWhateverIsLateRepeatedOrOfAnEarlierLife, ()) {
