--- a/tests/meetings_test.cpp
+++ b/tests/meetings_test.cpp
@@ -176,3 +176,133 @@
     EXPECT_EQ(d.states, (std::vector<std::string>{told, told}));
   }
 }
+
+namespace {
+
+/// Plays on until all is over; nothing is lost and no rule broken.
+void settle(World& w, double seconds, const std::string& what) {
+  w.heal();
+  w.checker.troubles_over(w.now());
+  w.run(from_seconds(seconds));
+  w.checker.judge(w.now());
+  EXPECT_TRUE(w.checker.broken().empty()) << what << "\n" << notes(w).substr(0, 1500);
+  EXPECT_EQ(w.live(), 0U) << what;
+}
+
+}  // namespace
+
+// Every write of the service without an answer, carried out after newer ones of the same controller; the
+// conditions that make it harmless are listed in docs/design.md.
+TEST(Meetings, WritesThatAreCarriedOutLateHarmNothing) {
+  for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+    World w(300 + seed);
+    load(w);
+    w.run(from_seconds(25));
+    w.write_late(0.4);
+    // In some the leader ends, hands over for want of the state service, or all begin anew meanwhile.
+    if (seed % 4 == 1)
+      w.at(from_seconds(w.uniform(5, 50)), [&w] { w.crash(std::max(0, w.leader()), millis(400)); });
+    if (seed % 4 == 2)
+      w.at(from_seconds(w.uniform(5, 50)), [&w] {
+        w.strike({"state_refuses", {}, from_seconds(12), {}, "leader", 0});
+      });
+    if (seed % 4 == 3)
+      w.at(from_seconds(w.uniform(5, 50)), [&w] { w.strike({"all_crash", {}, millis(700), {}, "", 0}); });
+    w.run(from_seconds(60));
+    w.write_late(0);
+    w.run(from_seconds(13));
+    settle(w, 400, "seed " + std::to_string(seed));
+  }
+}
+
+// It goes on answering its workers and users while another leads, through whom jobs are cancelled.
+TEST(Meetings, ALeaderAloneWithWorkersAndUsersLetsBothGoAndCancelledWorkIsGone) {
+  for (const Cut how : {Cut::reset, Cut::hold}) {
+    for (std::uint64_t seed = 1; seed <= 3; ++seed) {
+      World w(400 + seed, World::small_site(), 4);
+      std::vector<std::string> refs;
+      for (int i = 0; i < 12; ++i) {
+        const JobSpec s = World::job(i, 1 + static_cast<std::uint32_t>(i % 3), 2, 300);
+        refs.push_back(s.ref);
+        w.submit(s);
+      }
+      w.run(from_seconds(40));
+      const int alone = w.leader();
+      ASSERT_GE(alone, 0);
+      w.leave_alone(alone, how);
+      const std::uint64_t term = w.terms();
+      for (int i = 0; i < 2000 && (w.terms() == term || w.leader() < 0); ++i) w.run(millis(10));
+      ASSERT_GE(w.leader(), 0);
+      ASSERT_NE(w.leader(), alone);
+      for (std::size_t i = 0; i < refs.size(); i += 2) w.withdraw(refs[i]);
+      w.run(from_seconds(3));
+      // Its users are told to come back at once, and no new ones are sent to it.
+      const auto poll = w.ask(alone, {"GET", "/submissions/" + refs[1], {}});
+      ASSERT_TRUE(poll.has_value());
+      EXPECT_EQ(poll->status, 503);
+      EXPECT_GT(poll->retry_after_s, 0);
+      // Its workers find the other leader, and cancelled work is gone there.
+      w.run(World::small_site().cancel - from_seconds(3));
+      std::set<std::string> left;
+      for (const std::string& h : w.hosts()) {
+        for (const auto& [ref, task] : w.units_on(h)) left.insert(ref);
+      }
+      for (std::size_t i = 0; i < refs.size(); ++i) EXPECT_EQ(left.contains(refs[i]), i % 2 == 1) << refs[i];
+      for (std::size_t i = 1; i < refs.size(); i += 2) w.withdraw(refs[i]);
+      w.run(from_seconds(20));
+      settle(w, 60, "seed " + std::to_string(seed));
+    }
+  }
+}
+
+// The next leader is not heard by the machines on which long tasks run, or can't reach them, for less than a
+// lease; they are neither started twice nor lost to impatience, and what is cancelled meanwhile is gone.
+TEST(Meetings, LongTasksOnMachinesThatCannotBeReachedForAWhileOutliveTheirLeader) {
+  for (const bool deaf : {false, true}) {
+    for (std::uint64_t seed = 1; seed <= 4; ++seed) {
+      World w(500 + seed, World::small_site(), 4);
+      std::vector<std::string> refs;
+      for (int i = 0; i < 12; ++i) {
+        const JobSpec s = World::job(i, 1 + static_cast<std::uint32_t>(i % 3), 2, 120);
+        refs.push_back(s.ref);
+        w.submit(s);
+      }
+      w.run(from_seconds(40));
+      const int leader = w.leader();
+      ASSERT_GE(leader, 0);
+      const std::vector<std::string> hosts = w.hosts();
+      const auto jobs_on = [&w] {
+        std::set<std::string> on;
+        for (const std::string& h : w.hosts()) {
+          for (const auto& [ref, task] : w.units_on(h)) on.insert(ref);
+        }
+        return on;
+      };
+      const std::set<std::string> before = jobs_on();
+      ASSERT_GE(before.size(), 8U);
+      for (std::size_t i = 0; i < hosts.size(); i += 2) {
+        for (int c = 0; c < 3; ++c) {
+          const std::string node = "c" + std::to_string(c);
+          if (deaf) {
+            w.cut_one_way(node, hosts[i], Cut::reset);
+          } else {
+            w.cut(node, hosts[i], Cut::hold);
+          }
+        }
+      }
+      w.crash(leader, from_seconds(60));
+      for (std::size_t i = 0; i < refs.size(); i += 3) w.withdraw(refs[i]);
+      const double away = w.uniform(1, deaf ? 3 : 3.5);
+      w.run(from_seconds(away));
+      w.heal();
+      w.run(from_seconds(4));
+      // Those that are not cancelled still run where they did: no lease has run out.
+      const std::set<std::string> left = jobs_on();
+      for (std::size_t i = 0; i < refs.size(); ++i) {
+        if (i % 3 == 0 || !before.contains(refs[i])) continue;
+        EXPECT_TRUE(left.contains(refs[i])) << refs[i] << " seed " << seed << (deaf ? " deaf" : "");
+      }
+      settle(w, 400, "seed " + std::to_string(seed));
+    }
+  }
+}
