--- a/tests/planner_test.cpp
+++ b/tests/planner_test.cpp
@@ -236,6 +236,21 @@
   EXPECT_NE(served(w.s).back(), 1U);
 }
 
+// Known to fail, see KNOWN-RED.txt: nothing bounds for how long a large job is put off while smaller ones
+// come, and it has to begin within four minutes.
+TEST(Planner, ALargeJobThatHasWaitedForMinutesIsNotPutOffForThoseThatHaveJustCome) {
+  World w;
+  w.s.now = WallTime{from_seconds(1000)};
+  w.s.coming = {{&w.small, to_amount(16)}};
+  for (const std::uint32_t tasks : {20U, 400U, 30U}) {
+    // All have the same time to spare, but the large one has waited for 200 s already.
+    const double waited = tasks == 400 ? 200 : 0;
+    w.job("blue", tasks, 1, 10).due = from_seconds(60 + waited);
+    w.s.jobs.back().accepted = w.s.now - from_seconds(waited);
+  }
+  EXPECT_EQ(served(w.s).front(), 1U);
+}
+
 TEST(Planner, LeavesTypesToThoseWhoNeedThem) {
   World w;
   w.job("blue", 2, 4, 30);
