--- a/lab/models/include/wrenusher/lab/users.hpp
+++ b/lab/models/include/wrenusher/lab/users.hpp
@@ -60,6 +60,12 @@
     std::string state;
   };
   const std::map<std::string, Outcome>& jobs() const { return jobs_; }
+  /// Questions asked about jobs, and those that were answered in time.
+  struct Questions {
+    std::size_t asked = 0;
+    std::size_t answered = 0;
+  };
+  const Questions& questions() const { return questions_; }
 
  private:
   void ask_again(const JobSpec& spec);
@@ -71,6 +77,7 @@
   Checker& checker_;
   std::map<std::string, Outcome> jobs_;
   double ask_often_ = 1;
+  Questions questions_;
 };
 
 /// A job of a class of the site, drawn anew.
--- a/lab/models/users.cpp
+++ b/lab/models/users.cpp
@@ -147,12 +147,14 @@
 }
 
 void Users::poll(const std::string& ref, int left_after_end) {
+  ++questions_.asked;
   balancer_.send({"GET", "/submissions/" + ref, {}}, kPollWait,
                  [this, ref, left_after_end, asked = wires_.now()](const base::Outcome& o) {
                    int left = left_after_end;
                    if (o.answered) {
                      const std::string state = state_of(o);
                      checker_.answered_poll(wires_.now(), ref, o.response.status, state, asked);
+                     if (o.response.status == 200) ++questions_.answered;
                      Outcome& job = jobs_[ref];
                      if (!state.empty()) job.state = state;
                      if (state == "done" || state == "withdrawn") {
--- a/src/book/book.cpp
+++ b/src/book/book.cpp
@@ -47,31 +47,38 @@
   job.stamp = stamp;
   job.blocks.resize((job.rec.spec.units + job.rec.block - 1) / job.rec.block);
   if (!job.rec.withdrawn) job.waiting.add(0, job.rec.spec.units - 1);
-  if (job.rec.withdrawn) over_.insert(ref);
   ++news_;
   population_.in.push_back(ref);
-  return jobs_.insert_or_assign(ref, std::move(job)).first->second;
+  Job& taken = jobs_.insert_or_assign(ref, std::move(job)).first->second;
+  set_over(taken, taken.rec.withdrawn);
+  return taken;
+}
+
+void Book::set_over(Job& job, bool over) {
+  if (over == (job.over_since != 0)) return;
+  if (over) {
+    job.over_since = ++overs_;
+    over_.insert({job.spec().urgency, job.over_since, job.spec().ref});
+  } else {
+    over_.erase({job.spec().urgency, std::exchange(job.over_since, 0), job.spec().ref});
+  }
 }
 
 void Book::drop(const std::string& ref) {
   Job& job = jobs_.at(ref);
   while (!job.claims.empty()) unclaim(job, job.claims.begin()->first);
   for (std::uint32_t n = 0; n < job.blocks.size(); ++n) unrank_block(job, n);
-  over_.erase(ref);
+  set_over(job, false);
   population_.out.push_back(job.id);
   jobs_.erase(ref);
 }
 
 /// The final state of the job is due once nothing is left to run, or of a cancelled job nothing left running.
-void Book::check_over(const Job& job) {
+void Book::check_over(Job& job) {
   const JobSpec& spec = job.spec();
   const bool over =
       job.rec.withdrawn ? job.claims.empty() : spec.shape != Shape::daemon && job.done.size() == spec.units;
-  if (over) {
-    over_.insert(spec.ref);
-  } else {
-    over_.erase(spec.ref);
-  }
+  set_over(job, over);
 }
 
 void Book::unrank_block(Job& job, std::uint32_t n) {
--- a/src/book/include/wrenusher/book/book.hpp
+++ b/src/book/include/wrenusher/book/book.hpp
@@ -77,7 +77,8 @@
   Instant not_before{};
   Instant near_image_until{};  ///< a service waits so long for room to be made where its image is
   int backoffs = 0;
-  std::uint64_t change = 0;  ///< rises with what waits, is claimed or done
+  std::uint64_t change = 0;      ///< rises with what waits, is claimed or done
+  std::uint64_t over_since = 0;  ///< its final state is due; 0: it is not
 
   const JobSpec& spec() const { return rec.spec; }
   std::uint32_t block_of(std::uint32_t task) const { return task / rec.block; }
@@ -93,6 +94,8 @@
 inline constexpr int kProgressRank = 4;
 /// Where a block stands in the order of writing: rank, since when, job, block.
 using DirtyKey = std::tuple<int, std::uint64_t, std::uint64_t, std::uint32_t>;
+/// Where a job stands among those whose final state is due: by urgency, then since when.
+using OverKey = std::tuple<Urgency, std::uint64_t, std::string>;
 /// Orders by machine.
 using Orders = std::map<std::string, std::vector<Order>>;
 /// The claims on a machine: (job id, task) -> job.
@@ -157,8 +160,8 @@
 
   /// What is to be written, in order.
   const std::map<DirtyKey, Job*>& unwritten() const { return dirty_; }
-  /// Jobs whose final state is due to be written.
-  const std::set<std::string>& over() const { return over_; }
+  /// Jobs whose final state is due to be written, in order.
+  const std::set<OverKey>& over() const { return over_; }
   /// The block is in the store as of this version.
   void written(Job& job, std::uint32_t n, std::uint64_t version);
   /// The block as a row of a value in the store.
@@ -172,12 +175,14 @@
   void touch(Job& job, std::uint32_t task, bool claimed);
   void rank_block(Job& job, std::uint32_t n);
   void unrank_block(Job& job, std::uint32_t n);
-  void check_over(const Job& job);
+  void check_over(Job& job);
+  void set_over(Job& job, bool over);
 
   Runtime& rt_;
   Machines& machines_;
   std::uint64_t clock_ = 0;  ///< version of the newest change
   std::uint64_t jobs_taken_ = 0;
+  std::uint64_t overs_ = 0;
   std::uint64_t news_ = 0;
   std::size_t loaded_ = 0;
   Population population_;
@@ -185,7 +190,7 @@
   std::unordered_map<const Machine*, Tenants> tenants_;
   std::map<std::string, Needs> teams_;
   std::map<DirtyKey, Job*> dirty_;
-  std::set<std::string> over_;
+  std::set<OverKey> over_;
 };
 
 }  // namespace wrenusher::book
--- a/src/controller/controller.cpp
+++ b/src/controller/controller.cpp
@@ -24,6 +24,8 @@
       ledger_(rt, settings_, store_),
       provisioner_(rt, settings_, store_) {
   wire(rt, store_.health, peer_, &Peer::on_health);
+  wire(rt, store_.wanted, peer_, &Peer::on_wanted);
+  wire(rt, peer_.pace, store_, &Store::on_peer);
 
   wire(rt, leadership_.changed, peer_, &Peer::on_term);
   wire(rt, leadership_.changed, fleet_, &Fleet::on_term);
@@ -60,6 +62,11 @@
   wire(rt, peer_.news, frontdesk_, &Frontdesk::on_peer);
   wire(rt, peer_.withdrawn, ledger_, &Ledger::on_withdrawn);
 
+  wire(rt, standby_.roots(), frontdesk_, &Frontdesk::on_roots);
+  wire(rt, ledger_.roots, frontdesk_, &Frontdesk::on_roots);
+  wire(rt, ledger_.finals, frontdesk_, &Frontdesk::on_finals);
+  wire(rt, ledger_.finals, peer_, &Peer::on_finals);
+  wire(rt, peer_.finals, frontdesk_, &Frontdesk::on_finals);
   wire(rt, frontdesk_.withdrawn, peer_, &Peer::on_withdrawn);
   wire(rt, frontdesk_.withdrawn, ledger_, &Ledger::on_withdrawn);
 
@@ -90,6 +97,7 @@
 }
 
 void Controller::start() {
+  store_.start();
   survey_.start();
   leadership_.start();
   peer_.start();
--- a/src/desk/frontdesk.cpp
+++ b/src/desk/frontdesk.cpp
@@ -11,24 +11,33 @@
 
 namespace {
 
-constexpr std::size_t kMostFinals = 4000;
+constexpr std::size_t kMostFinals = 10000;
 constexpr Micros kFreshPeer = from_seconds(2);
-constexpr std::size_t kMostKnown = 4000;
+constexpr std::size_t kMostKnown = 20000;
 constexpr int kWithdrawTries = 4;
 /// Polls that come this close together share a comparison from the start; more gather while it is under way.
 constexpr Micros kGather = millis(10);
 /// Questions that wait for a comparison; what is over is refused at once.
-constexpr std::size_t kMostChecks = 500;
+constexpr std::size_t kMostChecks = 4000;
 
 constexpr int kSoon = 1;
+/// Told to come back after at most so long.
+constexpr Micros kLatest = from_seconds(10);
 
 /// The state service gave no answer, or none that this can be decided by.
 Response no_state() {
   return refuse({503, "state_unreachable", "The state service gives no answer at present.", "", kSoon});
 }
 
-Response busy() {
-  return refuse({503, "busy", "Too many questions wait here at present.", "", kSoon});
+/// What can't be taken in time is told so at once, with when to come back.
+Response busy(Micros wait) {
+  const Micros most = std::min(wait, kLatest) + from_seconds(1) - Micros{1};
+  return refuse({503, "busy", "Too much waits here at present.", "",
+                 std::max(kSoon, static_cast<int>(most / from_seconds(1)))});
+}
+
+Response not_asked(Micros busy_for) {
+  return busy_for.count() > 0 ? busy(busy_for) : no_state();
 }
 
 Response unknown_job(const std::string& ref) {
@@ -140,6 +149,28 @@
   }
 }
 
+/// The job is over as of this stamp.
+void Frontdesk::forget(const std::string& ref, std::uint64_t stamp) {
+  const auto it = known_.find(ref);
+  if (it != known_.end() && it->second.stamp < stamp) known_.erase(it);
+}
+
+/// What this node reads anyway, as leader or to follow: with it a poll costs a comparison that many share,
+/// after a takeover as well, and not a read of its own.
+void Frontdesk::on_roots(const std::shared_ptr<const RootsSeen>& r) {
+  for (const RootsSeen::Root& root : r->live) {
+    if (!finals_.contains(root.ref)) know(root.ref, {root.stamp, root.withdrawn});
+  }
+  for (const auto& [ref, stamp] : r->gone) forget(ref, stamp);
+}
+
+void Frontdesk::on_finals(const std::shared_ptr<const FinalsKept>& f) {
+  for (const FinalsKept::Row& row : f->rows) {
+    remember(row.ref, {row.withdrawn ? "withdrawn" : "done", row.done, 0});
+    known_.erase(row.ref);
+  }
+}
+
 Frontdesk::State Frontdesk::live_state(const std::string& ref, bool gone) const {
   State s;
   if (const auto it = counts_.find(ref); it != counts_.end()) std::tie(s.done, s.running) = it->second;
@@ -150,15 +181,15 @@
 /// The state of a job as the state service has it now. What was read before needs only to be compared, and
 /// many are compared in one request: with one for every poll, a few hundred users took all the requests a
 /// second there are.
-void Frontdesk::lookup(const std::string& ref, std::function<void(Found)> done) {
+void Frontdesk::lookup(const std::string& ref, Store::Urgent urgent, std::function<void(Found)> done) {
   if (const auto it = finals_.find(ref); it != finals_.end()) {
     done(Found{false, it->second});
   } else if (!known_.contains(ref)) {
-    read(ref, done);
+    read(ref, urgent, done);
   } else if (checks_.size() >= kMostChecks) {
-    done(Found{true, std::nullopt, true});
+    done(Found{true, std::nullopt, from_seconds(kSoon)});
   } else {
-    checks_.push_back({ref, std::move(done)});
+    checks_.push_back({ref, urgent, std::move(done)});
     if (checking_) return;
     checking_ = true;
     rt_.after(kGather, [this] { check(); });
@@ -175,7 +206,7 @@
       stamps.emplace(records::job_key(c.ref), it->second.stamp);
       asked.push_back(std::move(c));
     } else {
-      lookup(c.ref, std::move(c.done));
+      lookup(c.ref, c.urgent, std::move(c.done));
     }
   }
   if (asked.empty()) {
@@ -184,7 +215,7 @@
   }
   std::vector<Condition> when;
   for (const auto& [key, stamp] : stamps) when.push_back({key, stamp});
-  store_.commit(when, {}, Store::Urgent::user, [this, asked = std::move(asked)](const Commit& c) mutable {
+  store_.commit(when, {}, Store::Urgent::poll, [this, asked = std::move(asked)](const Commit& c) mutable {
     settle_checks(std::move(asked), c);
     check();
   });
@@ -199,23 +230,32 @@
       // What has changed is read anew; the rest is asked once more, since nothing says that it was compared.
       const bool failed = c.failed.empty() || std::find(c.failed.begin(), c.failed.end(),
                                                         records::job_key(a.ref)) != c.failed.end();
-      if (failed || it == known_.end()) {
-        read(a.ref, a.done);
+      if (const auto fin = finals_.find(a.ref); fin != finals_.end()) {
+        a.done(Found{false, fin->second});
+      } else if (failed || it == known_.end()) {
+        read(a.ref, a.urgent, a.done);
       } else {
         checks_.push_front(std::move(a));
       }
     } else {
-      a.done({});
+      Found f;
+      f.busy = c.busy;
+      a.done(f);
     }
   }
 }
 
-void Frontdesk::read(const std::string& ref, const std::function<void(Found)>& done) {
+void Frontdesk::read(const std::string& ref, Store::Urgent urgent, const std::function<void(Found)>& done) {
   // First the live record, then the final one: a job moves only from the first to the second, in one
   // transaction, so a job that exists is seen in one of them.
-  store_.get(records::job_key(ref), Store::Urgent::user, [this, ref, done](Read live) {
+  const auto failed = [done](const Read& r) {
+    Found f;
+    f.busy = r.busy;
+    done(f);
+  };
+  store_.get(records::job_key(ref), urgent, [this, ref, urgent, done, failed](const Read& live) {
     if (live.result != Read::Result::ok) {
-      done({});
+      failed(live);
       return;
     }
     if (!live.rows.empty()) {
@@ -224,9 +264,10 @@
       done(Found{false, live_state(ref, gone)});
       return;
     }
-    store_.get(records::end_key(ref), Store::Urgent::user, [this, ref, done](Read end) {
+    forget(ref, live.revision + 1);
+    store_.get(records::end_key(ref), urgent, [this, ref, done, failed](const Read& end) {
       if (end.result != Read::Result::ok) {
-        done({});
+        failed(end);
         return;
       }
       if (end.rows.empty()) {
@@ -243,9 +284,9 @@
 }
 
 void Frontdesk::known_or(const std::string& ref, Response otherwise, const Answer& answer) {
-  lookup(ref, [ref, otherwise = std::move(otherwise), answer](const Found& f) {
+  lookup(ref, Store::Urgent::user, [ref, otherwise = std::move(otherwise), answer](const Found& f) {
     if (f.failed) {
-      answer(f.busy ? busy() : no_state());
+      answer(not_asked(f.busy));
     } else if (f.state) {
       answer(status_response(200, ref, f.state->status));
     } else {
@@ -326,7 +367,7 @@
             known_or(id, no_state(), answer);
             break;
           case Commit::Result::refused:
-            answer(no_state());
+            answer(not_asked(c.busy));
             break;
           case Commit::Result::invalid:
             answer(refuse({400, "not_kept", "The state service does not take this description.", "", 0}));
@@ -336,9 +377,9 @@
 }
 
 void Frontdesk::poll(const std::string& ref, const Answer& answer) {
-  lookup(ref, [ref, answer](const Found& f) {
+  lookup(ref, Store::Urgent::poll, [ref, answer](const Found& f) {
     if (f.failed) {
-      answer(f.busy ? busy() : no_state());
+      answer(not_asked(f.busy));
     } else if (!f.state) {
       answer(unknown_job(ref));
     } else {
@@ -354,12 +395,12 @@
 
 void Frontdesk::withdraw(const std::string& ref, int tries, const Answer& answer) {
   if (tries == 0) {
-    answer(busy());
+    answer(busy(from_seconds(kSoon)));
     return;
   }
   store_.get(records::job_key(ref), Store::Urgent::user, [this, ref, tries, answer](Read r) {
     if (r.result != Read::Result::ok) {
-      answer(no_state());
+      answer(not_asked(r.busy));
       return;
     }
     if (r.rows.empty()) {
@@ -379,7 +420,7 @@
                       withdrawn(JobWithdrawn{ref});
                       answer(status_response(200, ref, "withdrawn"));
                     } else if (c.result == Commit::Result::refused) {
-                      answer(no_state());
+                      answer(not_asked(c.busy));
                     } else {
                       withdraw(ref, tries - 1, answer);
                     }
--- a/src/desk/include/wrenusher/desk/frontdesk.hpp
+++ b/src/desk/include/wrenusher/desk/frontdesk.hpp
@@ -28,6 +28,8 @@
   void on_catalog(const CatalogSeen& c) { catalog_ = c.catalog; }
   void on_progress(const std::shared_ptr<const Progress>& p);
   void on_peer(const PeerNews& news);
+  void on_roots(const std::shared_ptr<const RootsSeen>& r);
+  void on_finals(const std::shared_ptr<const FinalsKept>& f);
 
   Sink<JobWithdrawn> withdrawn;
 
@@ -41,7 +43,7 @@
   struct Found {
     bool failed = true;
     std::optional<State> state;
-    bool busy = false;  ///< failed since too much waits here
+    Micros busy{};  ///< failed since too much waits here, for about so long
   };
   /// A live record as it was last read.
   struct Known {
@@ -50,13 +52,15 @@
   };
   struct Check {
     std::string ref;
+    Store::Urgent urgent = Store::Urgent::poll;
     std::function<void(Found)> done;
   };
-  void lookup(const std::string& ref, std::function<void(Found)> done);
-  void read(const std::string& ref, const std::function<void(Found)>& done);
+  void lookup(const std::string& ref, Store::Urgent urgent, std::function<void(Found)> done);
+  void read(const std::string& ref, Store::Urgent urgent, const std::function<void(Found)>& done);
   void check();
   void settle_checks(std::vector<Check> asked, const Commit& c);
   void know(const std::string& ref, const Known& k);
+  void forget(const std::string& ref, std::uint64_t stamp);
   State live_state(const std::string& ref, bool gone) const;
   std::optional<Fault> never(const JobSpec& spec, const Team* team) const;
   void submit(const Request& request, const Answer& answer);
@@ -78,7 +82,7 @@
   std::unordered_map<std::string, State> finals_;
   std::deque<std::string> finals_order_;
   std::unordered_map<std::string, Known> known_;
-  std::deque<std::string> known_order_;
+  std::deque<std::string> known_order_;  ///< some may be known no more
   /// Questions that the next comparison settles.
   std::deque<Check> checks_;
   bool checking_ = false;
--- a/src/ledger/include/wrenusher/ledger/ledger.hpp
+++ b/src/ledger/include/wrenusher/ledger/ledger.hpp
@@ -60,6 +60,8 @@
   Sink<HostCondemned> suspect;
   Sink<std::shared_ptr<const LedgerHints>> hints;
   Sink<TakenOver> taken_over;
+  Sink<std::shared_ptr<const RootsSeen>> roots;
+  Sink<std::shared_ptr<const FinalsKept>> finals;
 
  private:
   /// Leads, and has read what there is.
@@ -74,6 +76,7 @@
   void follow(std::uint64_t from, std::uint64_t epoch);
   void take_news(const FollowReply& f);
   void take_up(const Row& row);
+  void tell_roots();
   void refresh(const std::string& ref);
   void withdraw(Job& job);
 
@@ -116,6 +119,7 @@
   Instant next_queue_hints_{};
   std::map<std::string, std::uint64_t> queues_told_;  ///< version of what was told
   std::set<std::string> jobs_told_;
+  FinalsKept kept_;  ///< by the commit that is being settled
 };
 
 }  // namespace wrenusher::ledger
--- a/src/ledger/ledger.cpp
+++ b/src/ledger/ledger.cpp
@@ -31,7 +31,11 @@
       reports_(rt, book_, machines_, estimator_, waits_),
       rounds_(rt, settings, book_, machines_, estimator_),
       takeover_(rt, store, book_, writer_) {
+  writer_.on_over = [this](const Job& job) {
+    kept_.rows.push_back({job.spec().ref, job.rec.withdrawn, job.done.size()});
+  };
   writer_.on_committed = [this] {
+    if (!kept_.rows.empty()) finals(std::make_shared<const FinalsKept>(std::exchange(kept_, {})));
     answer_held();
     wake();
   };
@@ -127,6 +131,7 @@
             log::with("term", term_.epoch), log::with("jobs", book_.jobs().size()),
             log::with("claims", claims), log::with("way", by_copy ? "taken over" : "read"),
             log::with("seconds", to_seconds(rt_.now() - term_began_)));
+  tell_roots();
   for (const auto& [host, in] : std::exchange(early_, {})) on_report(in);
   follow(revision, term_.epoch);
 }
@@ -157,10 +162,18 @@
     log::debug("job_new", "job {job} is new", log::with("job", *records::parse_job_key(row.key)));
 }
 
+void Ledger::tell_roots() {
+  auto seen = std::make_shared<RootsSeen>();
+  for (const auto& [ref, job] : book_.jobs()) seen->live.push_back({ref, job.stamp, job.rec.withdrawn});
+  roots(std::shared_ptr<const RootsSeen>(std::move(seen)));
+}
+
 void Ledger::take_news(const FollowReply& f) {
+  auto seen = std::make_shared<RootsSeen>();
   for (const Row& row : f.puts) {
     const auto ref = records::parse_job_key(row.key);
     Job* job = ref ? book_.find(*ref) : nullptr;
+    if (ref) seen->live.push_back({*ref, row.stamp, row.value["wd"].boolean().value_or(false)});
     if (job == nullptr) {
       take_up(row);
     } else if (row.stamp > job->stamp) {
@@ -169,6 +182,10 @@
       if (row.value["wd"].boolean().value_or(false)) withdraw(*job);
     }
   }
+  for (const auto& [key, stamp] : f.deletes) {
+    if (auto ref = records::parse_job_key(key)) seen->gone.emplace_back(std::move(*ref), stamp);
+  }
+  roots(std::shared_ptr<const RootsSeen>(std::move(seen)));
   wake();
 }
 
--- a/src/mail/include/wrenusher/mail/mail.hpp
+++ b/src/mail/include/wrenusher/mail/mail.hpp
@@ -236,6 +236,28 @@
   std::string ref;
 };
 
+/// Roots of live jobs as they were read here, and of jobs that are over. No more than what to compare with:
+/// the state service says whether it still is so.
+struct RootsSeen {
+  struct Root {
+    std::string ref;
+    std::uint64_t stamp = 0;
+    bool withdrawn = false;
+  };
+  std::vector<Root> live;
+  std::vector<std::pair<std::string, std::uint64_t>> gone;  ///< and the stamp of that
+};
+
+/// Final states that are in the state service: they never change.
+struct FinalsKept {
+  struct Row {
+    std::string ref;
+    bool withdrawn = false;
+    std::uint64_t done = 0;
+  };
+  std::vector<Row> rows;
+};
+
 /// Task counts of the live jobs as the leader last told them, for display alone.
 struct Progress {
   struct Row {
--- a/src/membership/include/wrenusher/membership/peer.hpp
+++ b/src/membership/include/wrenusher/membership/peer.hpp
@@ -33,12 +33,16 @@
   void on_ready(const Readiness& r) { ready_ = r; }
   void on_ceding(const Ceding& c);
   void on_aside(const Aside& a) { asides_[a.peer] = a.value; }
+  void on_finals(const std::shared_ptr<const FinalsKept>& f);
+  void on_wanted(const PaceWanted& w) { wants_ = w; }
 
   Sink<BeatSent> sent;
   Sink<Aside> aside;
   Sink<PeerNews> news;
+  Sink<PeerPace> pace;
   Sink<JobWithdrawn> withdrawn;
   Sink<std::shared_ptr<const Progress>> progress;
+  Sink<std::shared_ptr<const FinalsKept>> finals;
 
  private:
   void beat();
@@ -58,9 +62,12 @@
   topology::Edition force_;
   bool hears_ = false;
   std::deque<std::pair<Instant, std::string>> recent_;
-  std::shared_ptr<const Progress> untold_;  ///< goes out with the next beat
-  std::map<std::string, Value> asides_;     ///< by peer: likewise
+  std::shared_ptr<const Progress> untold_;                  ///< goes out with the next beat
+  std::deque<std::pair<Instant, FinalsKept::Row>> finals_;  ///< likewise, for a while
+  Instant finals_sent_{};
+  std::map<std::string, Value> asides_;  ///< by peer: likewise
   Readiness ready_ = Readiness::cold;
+  PaceWanted wants_;
   Instant abstains_until_{};
   std::string successor_;
   /// By which a peer tells this node's words in order, over its lives as well: time of day when it began, and
--- a/src/membership/peer.cpp
+++ b/src/membership/peer.cpp
@@ -10,6 +10,10 @@
 /// A cancellation is repeated this long, so that the leader learns of it while the state service is away.
 constexpr Micros kRepeat = from_seconds(20);
 constexpr std::size_t kMostRepeated = 200;
+/// A final state rides in the heartbeats of so long; who misses it reads it.
+constexpr Micros kTellFinal = millis(1200);
+constexpr std::size_t kMostFinals = 200;  // a heartbeat may have 64 KiB
+constexpr Micros kFinalsPause = millis(200);
 /// A node that gave the lead away says for so long whom it wants to lead, and that it does not itself.
 constexpr Micros kAbstains = from_seconds(4);
 }  // namespace
@@ -23,6 +27,7 @@
 
 void Peer::beat() {
   while (!recent_.empty() && rt_.now() - recent_.front().first > kRepeat) recent_.pop_front();
+  while (!finals_.empty() && rt_.now() - finals_.front().first > kTellFinal) finals_.pop_front();
   send();
   untold_.reset();
   sent(BeatSent{});
@@ -48,6 +53,15 @@
   send();
 }
 
+/// Told at once: until they know, the others have to read the state of each of these jobs for its user.
+void Peer::on_finals(const std::shared_ptr<const FinalsKept>& f) {
+  for (const FinalsKept::Row& row : f->rows) finals_.emplace_back(rt_.now(), row);
+  while (finals_.size() > kMostFinals) finals_.pop_front();
+  if (rt_.now() - finals_sent_ < kFinalsPause) return;
+  finals_sent_ = rt_.now();
+  send();
+}
+
 void Peer::on_term(const TermChanged& t) {
   // Who leads is told at once: until they know, the others send workers nowhere.
   const bool begins = t.leading && !term_.leading;
@@ -79,10 +93,16 @@
   write_edition(out, "topology", mine_);
   if (term_.leading) write_edition(out, "in_force", force_);
   out.emplace_back("ready", static_cast<int>(ready_));
+  out.emplace_back("wants", Value::List{wants_.requests, wants_.writes});
   if (abstains()) {
     out.emplace_back("abstains", true);
     if (!successor_.empty()) out.emplace_back("successor", successor_);
   }
+  if (!finals_.empty()) {
+    Value::List rows;
+    for (const auto& [at, f] : finals_) rows.emplace_back(Value::List{f.ref, f.withdrawn, f.done});
+    out.emplace_back("finals", std::move(rows));
+  }
   if (untold_) {
     Value::List rows;
     rows.reserve(untold_->rows.size());
@@ -128,6 +148,16 @@
       if (r.text() != nullptr && valid_ref(*r.text())) withdrawn(JobWithdrawn{*r.text()});
     }
   }
+  if (const Value::List* l = v["finals"].list()) {
+    auto kept = std::make_shared<FinalsKept>();
+    for (const Value& row : *l) {
+      const Value::List* f = row.list();
+      if (f == nullptr || f->size() != 3 || (*f)[0].text() == nullptr || !valid_ref(*(*f)[0].text()))
+        continue;
+      kept->rows.push_back({*(*f)[0].text(), (*f)[1].boolean().value_or(false), (*f)[2].count().value_or(0)});
+    }
+    finals(std::shared_ptr<const FinalsKept>(std::move(kept)));
+  }
   if (const Value::List* l = v["progress"].list()) {
     auto p = std::make_shared<Progress>();
     for (const Value& row : *l) {
@@ -137,6 +167,10 @@
     }
     progress(std::move(p));
   }
+  if (const Value::List* l = v["wants"].list(); l != nullptr && l->size() == 2) {
+    const auto least0 = [](const Value& x) { return std::max(0.0, x.number().value_or(0)); };
+    pace(PeerPace{n.node, n.leading, {least0((*l)[0]), least0((*l)[1])}});
+  }
   news(n);
   if (v["aside"].map() != nullptr) aside(Aside{n.node, v["aside"]});
 }
--- a/src/standby/copy.cpp
+++ b/src/standby/copy.cpp
@@ -83,6 +83,18 @@
   return std::max(kFollowPause, from_seconds(2 / (settings_.state_rps * kPacePart)));
 }
 
+/// A job's root, as the copy has it now.
+void Copy::saw(mail::RootsSeen& seen, const std::string& key) const {
+  const auto ref = records::parse_job_key(key);
+  const auto it = ref ? data_.jobs.find(*ref) : data_.jobs.end();
+  if (it != data_.jobs.end()) seen.live.push_back({*ref, it->second.stamp, it->second.rec.withdrawn});
+}
+
+void Copy::tell(mail::RootsSeen seen) const {
+  if (!seen.live.empty() || !seen.gone.empty())
+    roots(std::make_shared<const mail::RootsSeen>(std::move(seen)));
+}
+
 void Copy::fill(Part& p) {
   store_.list(p.prefix, p.from, kPage, Store::Urgent::spare,
               [this, &p, generation = generation_](const Read& page) {
@@ -104,13 +116,16 @@
     doubt("the state service went back to an earlier revision");
     return;
   }
+  mail::RootsSeen seen;
   for (const Row& row : page.rows) {
     if (!apply_put(data_, row)) {
       doubt("a record cannot be read");
       return;
     }
+    saw(seen, row.key);
     p.from = row.key;
   }
+  tell(std::move(seen));
   if (page.truncated && !page.rows.empty()) {
     rt_.after(kPagePause, [this, &p, generation = generation_] {
       if (generation == generation_) fill(p);
@@ -152,13 +167,19 @@
     doubt("the state service tells changes of other revisions than were asked for");
     return false;
   }
+  mail::RootsSeen seen;
   for (const Row& row : f.puts) {
     if (!apply_put(data_, row)) {
       doubt("a record cannot be read");
       return false;
     }
+    saw(seen, row.key);
+  }
+  for (const auto& [key, stamp] : f.deletes) {
+    apply_delete(data_, key, stamp);
+    if (auto ref = records::parse_job_key(key)) seen.gone.emplace_back(std::move(*ref), stamp);
   }
-  for (const auto& [key, stamp] : f.deletes) apply_delete(data_, key, stamp);
+  tell(std::move(seen));
   p.reached = f.revision;
   p.at = rt_.now();
   return true;
--- a/src/standby/include/wrenusher/standby/copy.hpp
+++ b/src/standby/include/wrenusher/standby/copy.hpp
@@ -14,6 +14,7 @@
 #include <optional>
 #include <string>
 
+#include "wrenusher/mail/mail.hpp"
 #include "wrenusher/records/records.hpp"
 #include "wrenusher/settings/settings.hpp"
 #include "wrenusher/store/store.hpp"
@@ -43,6 +44,8 @@
   /// time. Stops. `least`: the revision that it must have reached.
   void hand_over(std::uint64_t least, std::function<void(std::shared_ptr<records::Snapshot>)> done);
 
+  Sink<std::shared_ptr<const mail::RootsSeen>> roots;
+
   std::size_t jobs() const { return data_.jobs.size(); }
   std::size_t slots() const { return data_.slots.size(); }
 
@@ -61,6 +64,8 @@
   void follow(Part& p);
   bool take(Part& p, const FollowReply& f);
   void doubt(const char* why);
+  void saw(mail::RootsSeen& seen, const std::string& key) const;
+  void tell(mail::RootsSeen seen) const;
   Micros pause() const;
 
   Runtime& rt_;
--- a/src/standby/include/wrenusher/standby/standby.hpp
+++ b/src/standby/include/wrenusher/standby/standby.hpp
@@ -31,6 +31,8 @@
   void on_gone(const HostGone& g);
 
   Readiness ready() const;
+  /// Of the copy's live jobs, as they are read.
+  Sink<std::shared_ptr<const RootsSeen>>& roots() { return copy_.roots; }
 
   Sink<Aside> aside;
   Sink<Readiness> readiness;
--- a/src/store/include/wrenusher/store/store.hpp
+++ b/src/store/include/wrenusher/store/store.hpp
@@ -3,7 +3,10 @@
 // it: it paces requests and changes, and tells apart "not executed" from "may have been executed". It may
 // depend on base, settings and protocol.
 
+#include <array>
 #include <deque>
+#include <map>
+#include <optional>
 
 #include "wrenusher/base/runtime.hpp"
 #include "wrenusher/protocol/messages.hpp"
@@ -25,6 +28,7 @@
 struct Read {
   enum class Result { ok, failed };
   Result result = Result::failed;
+  Micros busy{};          ///< not asked, since too much waits here: for about so long
   std::vector<Row> rows;  ///< empty: absent
   bool truncated = false;
   std::uint64_t revision = 0;
@@ -50,6 +54,7 @@
     invalid    ///< the service calls it malformed
   };
   Result result = Result::refused;
+  Micros busy{};  ///< refused here, since too much waits: for about so long
   std::uint64_t revision = 0;
   std::vector<std::string> failed;
 };
@@ -78,6 +83,25 @@
   bool reachable = false;
 };
 
+/// Requests and changes a second.
+struct PaceWanted {
+  double requests = 0;
+  double writes = 0;
+};
+
+/// What a peer wants of the pace.
+struct PeerPace {
+  std::string node;
+  bool leading = false;
+  PaceWanted wants;
+};
+
+/// This node's share of a pace of `all` a second: a part that is its own whatever the others want, and of the
+/// rest as much as it wants beyond that, in proportion where all that is wanted is more. `peers`: who leads,
+/// and what each wants, of those that told of late.
+double share_of_pace(double all, bool leads, double wants, std::size_t others,
+                     const std::vector<std::pair<bool, double>>& peers);
+
 /// Tokens that refill at a steady rate, with at most one second's worth kept.
 class Pace {
  public:
@@ -101,11 +125,15 @@
 
 class Store {
  public:
-  /// Keep the hold; schedule; users; what is only taken from a pace that nobody else wants at present, or
-  /// once a second where somebody always does. Users' calls are refused at once when too many wait.
-  enum class Urgent { hold, schedule, user, spare };
+  /// Keep the hold; schedule; users' submissions and cancellations; their questions; what is only taken from
+  /// a pace that nobody else wants at present, or once a second where somebody always does. Users' calls that
+  /// could not be sent while their user waits are refused at once.
+  enum class Urgent { hold, schedule, user, poll, spare };
 
   Store(Runtime& rt, const Settings& settings);
+  /// Begins to tell what it wants.
+  void start();
+  void on_peer(const PeerPace& p);
 
   void get(const std::string& key, Urgent urgent, std::function<void(Read)> done);
   void list(const std::string& prefix, const std::string& from, int limit, Urgent urgent,
@@ -125,6 +153,7 @@
   std::size_t writes_ready();
 
   Sink<StoreHealth> health;
+  Sink<PaceWanted> wanted;
 
  private:
   struct Queued {
@@ -132,9 +161,24 @@
     std::function<void()> send;
     Instant since;
   };
-  void submit(Urgent urgent, double writes, std::function<void()> send, std::function<void()> refuse);
+  struct Lane {
+    std::deque<Queued> waiting;
+    double writes = 0;  ///< of all that waits
+  };
+  struct Peer {
+    PeerPace pace;
+    Instant at{};
+  };
+  Lane& lane(Urgent u) { return lanes_[static_cast<std::size_t>(u)]; }
+  void submit(Urgent urgent, double writes, std::function<void()> send,
+              const std::function<void(Micros busy)>& refuse);
+  Micros wait_of(Urgent urgent, double writes);
   void pump();
-  std::deque<Queued>* next_queue();
+  bool may_go(Urgent u, Instant now);
+  std::optional<Urgent> next(Instant now);
+  void tick();
+  PaceWanted wants() const;
+  void share_out();
   void call(Request request, Micros timeout, Done done);
   void seen(bool good);
 
@@ -142,11 +186,15 @@
   const Settings& settings_;
   Pace requests_;
   Pace writes_;
-  std::deque<Queued> user_queue_;
-  std::deque<Queued> queue_;
-  std::deque<Queued> spare_queue_;
-  bool users_turn_ = true;
+  std::array<Lane, 5> lanes_;
+  unsigned turn_ = 0;
+  double owed_ =
+      0;  ///< changes that users may make before the next scheduling write; negative: the other way
   bool pumping_ = false;
+  bool leading_ = false;
+  PaceWanted arrived_;  ///< since the last tick
+  PaceWanted recent_;   ///< a second, of late
+  std::map<std::string, Peer> peers_;
   Instant last_good_{};
   bool ever_good_ = false;
   bool told_ = false;
--- a/src/store/store.cpp
+++ b/src/store/store.cpp
@@ -11,9 +11,20 @@
 constexpr Micros kTimeout = from_seconds(1.5);
 /// The service counts as out of reach when nothing good came from it for this long.
 constexpr Micros kStale = from_seconds(2.0);
-/// Users' calls beyond this many waiting ones are refused at once.
-constexpr std::size_t kMostWaiting = 64;
-constexpr double kLeaderShare = 0.7;
+/// A user's call that would wait for longer is refused at once: its user gives up after 5 s, for a question
+/// after 2 s.
+constexpr Micros kUserWaits = from_seconds(3);
+constexpr Micros kPollWaits = from_seconds(1.2);
+/// Shares of the pace that are each node's whatever the others want; the rest goes where it is wanted.
+constexpr double kLeaderShare = 0.5;
+constexpr double kFollowerShares = 0.2;  // of all followers together
+/// Of the rest, the leader's part where nobody wants more than its own.
+constexpr double kLeaderRest = 2.0 / 3;
+constexpr Micros kTick = millis(500);
+/// What a peer told holds for this long.
+constexpr Micros kPeerHolds = from_seconds(2);
+/// Of the changes, where both want more than there are, the part for users' submissions and cancellations.
+constexpr double kUsersPart = 1.0 / 3;
 /// An answer to a follow holds every change since it was asked from, and the service sets no limit: after a
 /// pause of a minute it was 30 MB here, ten times as much once decoded, and the node ended for memory.
 constexpr std::size_t kMostFollowed = 2 * 1024 * 1024;
@@ -65,11 +76,70 @@
   leading(false);
 }
 
+void Store::start() {
+  tick();
+}
+
 void Store::leading(bool yes) {
-  const auto others = static_cast<double>(settings_.peers.size());
-  const double share = others == 0 ? 1.0 : yes ? kLeaderShare : (1.0 - kLeaderShare) / others;
-  requests_.rate(settings_.state_rps * share * 0.95);
-  writes_.rate(std::max(1.0, settings_.state_write_rps * share * 0.95));
+  leading_ = yes;
+  share_out();
+}
+
+void Store::on_peer(const PeerPace& p) {
+  peers_[p.node] = {p, rt_.now()};
+}
+
+/// What came of late, and what waits.
+PaceWanted Store::wants() const {
+  PaceWanted out = recent_;
+  for (const Lane& l : lanes_) {
+    out.requests += static_cast<double>(l.waiting.size());
+    out.writes += l.writes;
+  }
+  return out;
+}
+
+/// Tells what this node wants of the pace, and takes its share by what the others told. They reckon alike;
+/// where one knows less than the others for a moment, the service refuses what is too much.
+void Store::tick() {
+  const auto smooth = [](double& recent, double arrived) {
+    recent = std::max(recent * 0.7, arrived / to_seconds(kTick));
+  };
+  smooth(recent_.requests, arrived_.requests);
+  smooth(recent_.writes, arrived_.writes);
+  arrived_ = {};
+  wanted(wants());
+  share_out();
+  rt_.after(kTick, [this] { tick(); });
+}
+
+double share_of_pace(double all, bool leads, double wants, std::size_t others,
+                     const std::vector<std::pair<bool, double>>& peers) {
+  if (others == 0) return all;
+  const auto n = static_cast<double>(others);
+  const auto own = [&](bool leading) { return leading ? kLeaderShare : kFollowerShares / n; };
+  const auto more = [&](bool leading, double w) { return std::max(0.0, w / all - own(leading)); };
+  const double mine = more(leads, wants);
+  double sum = mine;
+  for (const auto& [leading, w] : peers) sum += more(leading, w);
+  const double rest = 1 - kLeaderShare - kFollowerShares;
+  const double usual = leads ? kLeaderRest : (1 - kLeaderRest) / n;
+  // Where all that is wanted fits, everybody gets it, and what is left goes as usual.
+  const double part = sum <= rest ? mine / rest + (1 - sum / rest) * usual : mine / sum;
+  return all * (own(leads) + rest * part);
+}
+
+void Store::share_out() {
+  const PaceWanted mine = wants();
+  const auto share = [&](double PaceWanted::*what, double all) {
+    std::vector<std::pair<bool, double>> told;
+    for (const auto& [name, p] : peers_) {
+      if (rt_.now() - p.at < kPeerHolds) told.emplace_back(p.pace.leading, p.pace.wants.*what);
+    }
+    return share_of_pace(all, leading_, mine.*what, settings_.peers.size(), told) * 0.95;
+  };
+  requests_.rate(share(&PaceWanted::requests, settings_.state_rps));
+  writes_.rate(std::max(1.0, share(&PaceWanted::writes, settings_.state_write_rps)));
 }
 
 bool Store::reachable() const {
@@ -98,71 +168,124 @@
   });
 }
 
-void Store::submit(Urgent urgent, double writes, std::function<void()> send, std::function<void()> refuse) {
+/// About how long a call would wait here.
+Micros Store::wait_of(Urgent urgent, double writes) {
+  const Lane& l = lane(urgent);
+  const Instant now = rt_.now();
+  const auto time = [&](Pace& pace, double n, double part) {
+    return std::max(0.0, n - pace.tokens(now)) / (pace.rate() * part);
+  };
+  double seconds =
+      time(requests_, static_cast<double>(l.waiting.size()) + 1, urgent == Urgent::poll ? 0.5 : 1);
+  if (writes > 0) {
+    const bool both = !lane(Urgent::schedule).waiting.empty();
+    seconds = std::max(seconds, time(writes_, l.writes + writes, both ? kUsersPart : 1));
+  }
+  return std::max(from_seconds(seconds), backoff_until_ - now);
+}
+
+void Store::submit(Urgent urgent, double writes, std::function<void()> send,
+                   const std::function<void(Micros busy)>& refuse) {
   const Instant now = rt_.now();
+  arrived_.requests += 1;
+  arrived_.writes += writes;
   if (urgent == Urgent::hold) {
     requests_.force(1, now);
     writes_.force(writes, now);
     send();
     return;
   }
-  auto& queue = urgent == Urgent::user ? user_queue_ : urgent == Urgent::spare ? spare_queue_ : queue_;
-  if (urgent == Urgent::user && queue.size() >= kMostWaiting) {
-    rt_.post(std::move(refuse));
-    return;
+  if (urgent == Urgent::user || urgent == Urgent::poll) {
+    const Micros wait = wait_of(urgent, writes);
+    if (wait > (urgent == Urgent::user ? kUserWaits : kPollWaits)) {
+      rt_.post([refuse, wait] { refuse(wait); });
+      return;
+    }
   }
-  queue.push_back({writes, std::move(send), now});
+  Lane& l = lane(urgent);
+  l.waiting.push_back({writes, std::move(send), now});
+  l.writes += writes;
   pump();
 }
 
 std::size_t Store::writes_ready() {
   const Instant now = rt_.now();
-  if (now < backoff_until_ || !queue_.empty()) return 0;
+  if (now < backoff_until_ || !lane(Urgent::schedule).waiting.empty()) return 0;
   const double ready = std::max(0.0, writes_.tokens(now));
-  // While users' calls wait they take every token as it comes, and none would ever be left over: a scheduling
-  // write then takes its turn among them and waits for a fair part of the pace.
-  return static_cast<std::size_t>(user_queue_.empty() ? ready : std::max(ready, writes_.rate() / 4));
+  // While users' changes wait they take every token as it comes, and none would ever be left over: a
+  // scheduling write then takes its turn among them and waits for a fair part of the pace.
+  return static_cast<std::size_t>(lane(Urgent::user).writes > 0 ? std::max(ready, writes_.rate() / 4)
+                                                                : ready);
+}
+
+/// Whether the first of a lane could be sent now.
+bool Store::may_go(Urgent u, Instant now) {
+  const Lane& l = lane(u);
+  if (l.waiting.empty() || requests_.tokens(now) < std::min(1.0, requests_.rate() * 0.999)) return false;
+  const Queued& q = l.waiting.front();
+  // What is spare is what half a second's worth is left of, until it has waited for long.
+  if (u == Urgent::spare && now - q.since < kSpareWaits && requests_.tokens(now) < requests_.rate() * kSpare)
+    return false;
+  if (q.writes == 0) return true;
+  // Changes that wait take turns: a large commit would never find its tokens beside users' single ones.
+  const auto other = u == Urgent::schedule ? Urgent::user : Urgent::schedule;
+  const bool my_turn = u == Urgent::user ? owed_ > 0 : owed_ <= 0;
+  if (!my_turn && lane(other).writes > 0) return false;
+  return writes_.tokens(now) >= std::min(q.writes, writes_.rate() * 0.999);
 }
 
-/// Null when nothing waits.
-std::deque<Store::Queued>* Store::next_queue() {
-  if (!spare_queue_.empty() && rt_.now() - spare_queue_.front().since >= kSpareWaits) return &spare_queue_;
-  // In turn, so that neither a storm of polls nor a long commit keeps the others out.
-  if (!user_queue_.empty() && (queue_.empty() || users_turn_)) return &user_queue_;
-  if (!queue_.empty()) return &queue_;
-  return spare_queue_.empty() ? nullptr : &spare_queue_;
+/// Whose turn it is; nothing: none can go now. What waits for changes keeps no question waiting, and a storm
+/// of questions keeps nobody out.
+std::optional<Store::Urgent> Store::next(Instant now) {
+  if (now < backoff_until_) return std::nullopt;
+  constexpr auto schedule = Urgent::schedule;
+  constexpr auto user = Urgent::user;
+  constexpr auto poll = Urgent::poll;
+  static constexpr std::array<std::array<Urgent, 3>, 4> kTurns = {
+      {{schedule, user, poll}, {user, schedule, poll}, {schedule, user, poll}, {poll, user, schedule}}};
+  const Lane& spare = lane(Urgent::spare);
+  if (!spare.waiting.empty() && now - spare.waiting.front().since >= kSpareWaits &&
+      may_go(Urgent::spare, now))
+    return Urgent::spare;
+  for (const Urgent u : kTurns[turn_ % kTurns.size()]) {
+    if (may_go(u, now)) return u;
+  }
+  const bool others =
+      std::any_of(kTurns[0].begin(), kTurns[0].end(), [&](Urgent u) { return !lane(u).waiting.empty(); });
+  return !others && may_go(Urgent::spare, now) ? std::optional(Urgent::spare) : std::nullopt;
 }
 
 void Store::pump() {
   if (pumping_) return;
-  while (auto* next = next_queue()) {
-    auto& queue = *next;
-    const Instant now = rt_.now();
-    const Queued& q = queue.front();
-    // What is spare is what half a second's worth is left of, whoever comes next.
-    const bool busy = &queue == &spare_queue_ && now - q.since < kSpareWaits &&
-                      requests_.tokens(now) < requests_.rate() * kSpare;
-    const bool wait = now < backoff_until_ || busy || !requests_.take(1, now);
-    if (!wait && q.writes > 0 && !writes_.take(q.writes, now)) {
-      requests_.force(-1, now);
-    } else if (!wait) {
-      auto send = std::move(queue.front().send);
-      queue.pop_front();
-      users_turn_ = !users_turn_;
-      send();
-      continue;
+  const Instant now = rt_.now();
+  while (const auto u = next(now)) {
+    Lane& l = lane(*u);
+    const Queued q = std::move(l.waiting.front());
+    l.waiting.pop_front();
+    l.writes = l.waiting.empty() ? 0 : l.writes - q.writes;
+    requests_.take(1, now);
+    if (q.writes > 0) {
+      writes_.take(q.writes, now);
+      owed_ += *u == Urgent::user ? -q.writes * (1 - kUsersPart) : q.writes * kUsersPart;
+      owed_ = std::clamp(owed_, -writes_.rate(), writes_.rate());
     }
-    pumping_ = true;
-    rt_.after(millis(20), [this] {
-      pumping_ = false;
-      pump();
-    });
-    return;
+    ++turn_;
+    q.send();
   }
+  if (std::all_of(lanes_.begin(), lanes_.end(), [](const Lane& l) { return l.waiting.empty(); })) return;
+  pumping_ = true;
+  rt_.after(millis(20), [this] {
+    pumping_ = false;
+    pump();
+  });
 }
 
 void Store::get(const std::string& key, Urgent urgent, std::function<void(Read)> done) {
-  auto failed = [done] { done(Read{}); };
+  const auto failed = [done](Micros busy) {
+    Read r;
+    r.busy = busy;
+    done(std::move(r));
+  };
   submit(
       urgent, 0,
       [this, key, done] {
@@ -183,7 +306,11 @@
 
 void Store::list(const std::string& prefix, const std::string& from, int limit, Urgent urgent,
                  std::function<void(Read)> done) {
-  auto failed = [done] { done(Read{}); };
+  const auto failed = [done](Micros busy) {
+    Read r;
+    r.busy = busy;
+    done(std::move(r));
+  };
   std::string target = "/store?starts=" + prefix + "&limit=" + std::to_string(limit);
   if (!from.empty()) target += "&from=" + from;
   submit(
@@ -261,81 +388,89 @@
           done(std::move(c));
         });
       },
-      [done] { done(Commit{}); });
+      [done](Micros busy) {
+        Commit c;
+        c.busy = busy;
+        done(std::move(c));
+      });
 }
 
 void Store::hold(Micros life, std::function<void(HoldReply)> done) {
   const std::string body = encode(Value::Map{{"life_ms", static_cast<std::uint64_t>(life.count() / 1000)}});
-  submit(Urgent::hold, 0,
-         [this, body, done] {
-           call({"POST", "/holds", body}, kTimeout, [done](Outcome o) {
-             HoldReply h;
-             if (o.answered && o.response.status == 200) {
-               const auto v = decode(o.response.body);
-               if (const auto t = v ? (*v)["tenancy"].count() : std::nullopt) {
-                 h.result = HoldReply::Result::ok;
-                 h.tenancy = *t;
-               }
-             }
-             done(h);
-           });
-         },
-         {});
+  submit(
+      Urgent::hold, 0,
+      [this, body, done] {
+        call({"POST", "/holds", body}, kTimeout, [done](Outcome o) {
+          HoldReply h;
+          if (o.answered && o.response.status == 200) {
+            const auto v = decode(o.response.body);
+            if (const auto t = v ? (*v)["tenancy"].count() : std::nullopt) {
+              h.result = HoldReply::Result::ok;
+              h.tenancy = *t;
+            }
+          }
+          done(h);
+        });
+      },
+      [](Micros) {});
 }
 
 void Store::extend(std::uint64_t tenancy, std::function<void(HoldReply)> done) {
-  submit(Urgent::hold, 0,
-         [this, tenancy, done] {
-           call({"POST", "/holds/" + std::to_string(tenancy) + "/extend", {}}, kTimeout,
-                [done, tenancy](Outcome o) {
-                  HoldReply h;
-                  h.tenancy = tenancy;
-                  if (o.answered && o.response.status == 200) h.result = HoldReply::Result::ok;
-                  if (o.answered && o.response.status == 404) h.result = HoldReply::Result::gone;
-                  done(h);
-                });
-         },
-         {});
+  submit(
+      Urgent::hold, 0,
+      [this, tenancy, done] {
+        call({"POST", "/holds/" + std::to_string(tenancy) + "/extend", {}}, kTimeout,
+             [done, tenancy](Outcome o) {
+               HoldReply h;
+               h.tenancy = tenancy;
+               if (o.answered && o.response.status == 200) h.result = HoldReply::Result::ok;
+               if (o.answered && o.response.status == 404) h.result = HoldReply::Result::gone;
+               done(h);
+             });
+      },
+      [](Micros) {});
 }
 
 void Store::drop(std::uint64_t tenancy) {
-  submit(Urgent::hold, 0,
-         [this, tenancy] {
-           call({"DELETE", "/holds/" + std::to_string(tenancy), {}}, kTimeout, [](const Outcome&) {});
-         },
-         {});
+  submit(
+      Urgent::hold, 0,
+      [this, tenancy] {
+        call({"DELETE", "/holds/" + std::to_string(tenancy), {}}, kTimeout, [](const Outcome&) {});
+      },
+      [](Micros) {});
 }
 
 void Store::follow(const std::string& prefix, std::uint64_t from, Micros wait, Urgent urgent,
                    std::function<void(FollowReply)> done) {
   const std::string target = "/follow?starts=" + prefix + "&from=" + std::to_string(from) +
                              "&hold_ms=" + std::to_string(wait.count() / 1000);
-  submit(urgent, 0,
-         [this, target, wait, done] {
-           call({"GET", target, {}, false, kMostFollowed}, wait + kTimeout, [done](Outcome o) {
-             FollowReply f;
-             if (o.answered && o.response.status == 410) f.result = FollowReply::Result::too_old;
-             if (o.too_large) f.result = FollowReply::Result::too_large;
-             if (o.answered && o.response.status == 200) {
-               auto v = decode(o.response.body);
-               o.response.body = {};
-               if (v && (*v)["events"].list() != nullptr) {
-                 f.result = FollowReply::Result::ok;
-                 f.revision = revision_of(*v);
-                 Value events = v->take("events");
-                 for (Value& e : *events.list()) {
-                   if (e["put"].text() != nullptr) {
-                     f.puts.push_back(read_row(e, "put"));
-                   } else if (const std::string* gone = e["delete"].text()) {
-                     f.deletes.emplace_back(*gone, e["stamp"].count().value_or(0));
-                   }
-                 }
-               }
-             }
-             done(std::move(f));
-           });
-         },
-         {});
+  submit(
+      urgent, 0,
+      [this, target, wait, done] {
+        call({"GET", target, {}, false, kMostFollowed}, wait + kTimeout, [done](Outcome o) {
+          FollowReply f;
+          if (o.answered && o.response.status == 410) f.result = FollowReply::Result::too_old;
+          if (o.too_large) f.result = FollowReply::Result::too_large;
+          if (o.answered && o.response.status == 200) {
+            auto v = decode(o.response.body);
+            o.response.body = {};
+            if (v && (*v)["events"].list() != nullptr) {
+              f.result = FollowReply::Result::ok;
+              f.revision = revision_of(*v);
+              Value events = v->take("events");
+              for (Value& e : *events.list()) {
+                if (e["put"].text() != nullptr) {
+                  f.puts.push_back(read_row(e, "put"));
+                } else if (const std::string* gone = e["delete"].text()) {
+                  f.deletes.emplace_back(*gone, e["stamp"].count().value_or(0));
+                }
+              }
+            }
+          }
+          done(std::move(f));
+        });
+      },
+      [](Micros) {});
 }
 
 }  // namespace wrenusher::store
--- a/src/writer/include/wrenusher/writer/writer.hpp
+++ b/src/writer/include/wrenusher/writer/writer.hpp
@@ -41,6 +41,8 @@
   /// value.
   void flush();
 
+  /// The job's final state is in the store; it leaves the book now.
+  std::function<void(const Job& job)> on_over;
   /// A write has been committed.
   std::function<void()> on_committed;
   /// What was in doubt is known: more can be written.
@@ -75,7 +77,7 @@
     std::vector<Condition> when;
     std::vector<Change> apply;
   };
-  void add_finals(Pending& p) const;
+  void add_finals(Pending& p, std::size_t ready) const;
   void add_blocks(Pending& p, std::size_t ready);
   void settle(const Commit& c, const Pending& p);
   void committed(const Pending& p, std::uint64_t revision);
--- a/src/writer/writer.cpp
+++ b/src/writer/writer.cpp
@@ -16,6 +16,7 @@
 constexpr std::size_t kMostSlots = 4;
 /// Part of a transaction that final states may take.
 constexpr std::size_t kFinalsPart = 3;
+constexpr std::size_t kFinalsAlone = 2;
 /// Nothing new is written while so many slots stand in doubt: what a leader may have made beyond the slots
 /// that others know of stays bounded, so that a standby can ask for it by name.
 constexpr std::uint32_t kMostDoubt = 8;
@@ -76,9 +77,15 @@
 }
 
 /// Final states, put with the deletion of the live record in one transaction.
-void Writer::add_finals(Pending& p) const {
-  for (const std::string& ref : book_.over()) {
-    if (p.apply.size() + 2 > std::max<std::size_t>(2, settings_.txn_ops / kFinalsPart)) break;
+void Writer::add_finals(Pending& p, std::size_t ready) const {
+  // Where nothing but progress and idle work's claims waits, there is room for more of them.
+  const bool claims = !book_.unwritten().empty() &&
+                      std::get<0>(book_.unwritten().begin()->first) < static_cast<int>(Urgency::low);
+  // No more than can be sent now: what would wait for the pace would keep what is urgent waiting with it.
+  const std::size_t most =
+      std::max<std::size_t>(2, std::min(ready, settings_.txn_ops / (claims ? kFinalsPart : kFinalsAlone)));
+  for (const auto& [urgency, since, ref] : book_.over()) {
+    if (p.apply.size() + 2 > most) break;
     const Job& job = *book_.find(ref);
     if (job.refresh) continue;
     p.when.push_back({records::job_key(ref), job.stamp});
@@ -104,7 +111,7 @@
   for (const auto& [key, job] : book_.unwritten()) {
     const std::uint32_t n = std::get<3>(key);
     const bool claims = std::get<0>(key) < book::kProgressRank;
-    if (book_.over().contains(job->spec().ref)) continue;  // the final state says it all
+    if (job->over_since != 0) continue;  // the final state says it all
     if (claims && job->refresh) continue;
     if (p.when.size() + kMostSlots + 1 > settings_.txn_ops * 4) break;
     if (!claims && values.empty() && !progress_due) {
@@ -153,7 +160,7 @@
   if (ready < 2) return;
   Pending p;
   p.when.push_back({"leader", leader_stamp_});
-  add_finals(p);
+  add_finals(p, ready);
   add_blocks(p, ready);
   if (p.apply.empty()) return;
   committing_ = true;
@@ -181,6 +188,7 @@
               log::with("queue", job->spec().queue),
               log::with("state", job->rec.withdrawn ? "withdrawn" : "done"),
               log::with("seconds", to_seconds(rt_.wall() - job->rec.accepted)));
+    if (on_over) on_over(*job);
     drop(ref);
   }
 }
--- a/tests/users_test.cpp
+++ b/tests/users_test.cpp
@@ -1,5 +1,8 @@
 // What users are answered, and that the checker sees every rule being broken.
 
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
 #include "judged.hpp"
 
 using namespace wrenusher::lab;
@@ -106,6 +109,169 @@
   expect_kept(w);
 }
 
+// A submission that waited for the pace of changes kept every question behind it waiting, a follower's pace
+// was a few changes a second whatever the leader left over, and after a takeover each job cost a read for
+// each user: of 700 jobs 200 were accepted, and most questions refused.
+TEST(Users, ASwarmOfSmallJobsIsTakenAndAnsweredUnderAStormOfQuestionsAndATakeover) {
+  Settings settings = World::small_site();
+  settings.state_rps = 100;
+  settings.state_write_rps = 20;
+  World w(15, settings);
+  w.run(from_seconds(20));
+  std::vector<std::string> refs;
+  for (int i = 0; i < 250; ++i) {
+    JobSpec s = World::job(2 * i + 1, 1, 0.5, 3);
+    s.bundle = "small";
+    s.urgency = Urgency::low;
+    refs.push_back(s.ref);
+    w.at(from_seconds(w.uniform(0, 4)), [&w, s] { w.submit(s); });
+  }
+  w.storm(8);
+  w.at(from_seconds(12), [&w] { w.crash(w.leader(), from_seconds(3)); });
+  w.run(from_seconds(35));
+  for (const std::string& ref : refs) EXPECT_TRUE(w.checker.accepted(ref)) << ref;
+  w.run(from_seconds(25));
+  w.storm(1);
+  w.checker.troubles_over(w.now());
+  w.run(from_seconds(120));
+  EXPECT_EQ(w.live(), 0U);
+  EXPECT_GT(w.users().questions().answered, w.users().questions().asked * 95 / 100);
+  expect_kept(w);
+}
+
+TEST(Users, AnUrgentJobsEndIsToldBeforeThoseOfASwarm) {
+  Settings settings = World::small_site();
+  settings.state_write_rps = 5;
+  World w(16, settings);
+  w.run(from_seconds(20));
+  for (int i = 0; i < 110; ++i) {
+    JobSpec s = World::job(2 * i + 1, 1, 0.2, 60);
+    s.bundle = "small";
+    s.urgency = Urgency::low;
+    w.submit(s);
+  }
+  JobSpec urgent = World::job(901, 2, 4, 10);  // it ends in the midst of them
+  urgent.urgency = Urgency::high;
+  w.run(from_seconds(68));
+  w.submit(urgent);
+  const auto done = [&] { return w.checker.is_done(urgent.ref, 0) && w.checker.is_done(urgent.ref, 1); };
+  const Instant from = w.now();
+  while (!done() && w.now() - from < from_seconds(120)) w.run(millis(100));
+  ASSERT_TRUE(done());
+  // PROTOCOL's 3 s, and the user's next question.
+  w.run(from_seconds(6.5));
+  EXPECT_EQ(w.told(urgent.ref), "done");
+  EXPECT_GT(w.live(), 20U);
+}
+
+TEST(Users, WhatCannotBeTakenInTimeIsRefusedAtOnceWithWhenToComeBack) {
+  Settings settings = World::small_site();
+  settings.state_write_rps = 12;
+  World w(18, settings);
+  w.run(from_seconds(20));
+  const int follower = (w.leader() + 1) % 3;
+  std::size_t taken = 0;
+  std::size_t refused = 0;
+  for (int i = 0; i < 80; ++i) {
+    const Instant sent = w.now();
+    w.tell(follower, {"POST", "/submissions", encode(write_spec(World::job(2 * i + 1, 1, 1, 1)))},
+           [&, sent](const Outcome& o) {
+             if (o.answered && o.response.status == 201) ++taken;
+             if (!o.answered || o.response.status != 503) return;
+             ++refused;
+             EXPECT_LT(w.now() - sent, from_seconds(0.7));
+             EXPECT_GE(o.response.retry_after_s, 3);
+           });
+  }
+  w.run(from_seconds(10));
+  EXPECT_GT(refused, 40U);
+  EXPECT_GT(taken, 2U);
+}
+
+// A follower took no more than its fixed part of the changes, whatever the leader left over.
+TEST(Users, AFollowerUsesThePaceThatTheOthersDoNotWant) {
+  Settings settings = World::small_site();
+  settings.state_write_rps = 20;
+  World w(19, settings);
+  w.run(from_seconds(20));
+  const int follower = (w.leader() + 1) % 3;
+  std::size_t taken = 0;
+  for (int i = 0; i < 72; ++i) {
+    w.at(from_seconds(i / 6.0), [&w, &taken, follower, i] {
+      w.tell(follower, {"POST", "/submissions", encode(write_spec(World::job(2 * i + 1, 1, 1, 1)))},
+             [&taken](const Outcome& o) { taken += o.answered && o.response.status == 201 ? 1 : 0; });
+    });
+  }
+  w.run(from_seconds(16));
+  EXPECT_GT(taken, 60U);
+}
+
+// Each node reads the records anyway, and the leader tells which jobs are over: neither the questions about
+// live jobs nor those about ends cost reads of their own, on a node that has just begun either.
+TEST(Users, QuestionsCostNoReadsOfTheirOwn) {
+  World w(17);
+  w.run(from_seconds(20));
+  for (int i = 0; i < 60; ++i) {
+    JobSpec s = World::job(2 * i + 1, 1, 0.2, 12);
+    s.bundle = "small";
+    w.submit(s);
+  }
+  w.run(from_seconds(5));
+  const int follower = (w.leader() + 1) % 3;
+  w.crash(follower, millis(200));
+  w.run(from_seconds(3));
+  const auto requests = [&] { return w.state_requests("c" + std::to_string(follower)); };
+  const std::uint64_t before = requests();
+  std::size_t answered = 0;
+  const auto ask_all = [&] {
+    for (int i = 0; i < 60; ++i) {
+      w.tell(follower, {"GET", "/submissions/" + World::job(2 * i + 1, 1, 1, 1).ref, {}},
+             [&](const Outcome& o) { answered += o.answered && o.response.status == 200 ? 1 : 0; });
+    }
+  };
+  ask_all();
+  w.run(from_seconds(2));
+  EXPECT_LT(requests() - before, 20U);
+  w.run(from_seconds(40));
+  EXPECT_EQ(w.live(), 0U);
+  const std::uint64_t later = requests();
+  ask_all();
+  w.run(from_seconds(2));
+  EXPECT_LT(requests() - later, 20U);
+  EXPECT_GT(answered, 115U);
+}
+
+namespace {
+
+/// What three nodes give themselves of a pace of 100 when they have told each other what they want.
+std::vector<double> shares(const std::vector<double>& wanted) {
+  std::vector<double> out;
+  for (std::size_t i = 0; i < 3; ++i) {
+    out.push_back(wrenusher::store::share_of_pace(100, i == 0, wanted[i], 2, [&] {
+      std::vector<std::pair<bool, double>> others;
+      for (std::size_t k = 0; k < 3; ++k) {
+        if (k != i) others.emplace_back(k == 0, wanted[k]);
+      }
+      return others;
+    }()));
+  }
+  return out;
+}
+
+}  // namespace
+
+RC_GTEST_PROP(SharedPace, GoesWhereItIsWantedAndNeverBeyondTheWhole, ()) {
+  const auto want = [] { return static_cast<double>(*rc::gen::inRange(0, 400)); };
+  const std::vector<double> wanted{want(), want(), want()};
+  const std::vector<double> got = shares(wanted);
+  RC_ASSERT(got[0] + got[1] + got[2] <= 100.0001);
+  RC_ASSERT(got[0] >= 50 && got[1] >= 10 && got[2] >= 10);
+  // Where all that is wanted beyond each one's own fits, everybody has it.
+  const double more =
+      std::max(0.0, wanted[0] - 50) + std::max(0.0, wanted[1] - 10) + std::max(0.0, wanted[2] - 10);
+  for (std::size_t i = 0; i < 3 && more <= 30; ++i) RC_ASSERT(got[i] >= std::min(wanted[i], 100.0) - 0.0001);
+}
+
 TEST(Users, ANodeThatAloneLacksTheStoreIsNotReady) {
   World w(4);
   w.run(from_seconds(5));
