--- a/tests/cancelled_test.cpp
+++ b/tests/cancelled_test.cpp
@@ -84,6 +84,16 @@
     }
     return out;
   }
+  std::set<std::string> jobs_on_machines() const {
+    std::set<std::string> out;
+    for (const auto& [ref, task] : on_machines()) out.insert(ref);
+    return out;
+  }
+  /// Until another term than this one has begun, to the message: what has begun then has read no record.
+  void run_until_term_after(std::uint64_t term) {
+    for (int i = 0; i < 60000 && w.terms() == term; ++i) w.run(Micros{200});
+    ASSERT_GT(w.terms(), term);
+  }
   int confirmations = 0;
   std::set<std::string> told_by_next;  ///< by the controller that was asked to cancel
 };
@@ -326,8 +336,7 @@
   g.w.cut(name_of(g.leader), name_of(g.next), Cut::reset);
   g.refuse_leader(14);
   // Those that run come first: they are the ones that newer ones would push out. Two of them stay.
-  std::set<std::string> running;
-  for (const auto& [ref, task] : g.on_machines()) running.insert(ref);
+  std::set<std::string> running = g.jobs_on_machines();
   ASSERT_GT(running.size(), 6U);
   std::stable_partition(g.refs.begin(), g.refs.end(), [&](const auto& r) { return running.contains(r); });
   g.refs.erase(g.refs.begin(), g.refs.begin() + 2);
@@ -340,8 +349,7 @@
   g.outage(kLongOutage);
   g.w.run(from_seconds(kLongOutage - 1));
   // They are told all the same, so that nothing else has to be let go.
-  std::set<std::string> left;
-  for (const auto& [ref, task] : g.on_machines()) left.insert(ref);
+  const std::set<std::string> left = g.jobs_on_machines();
   std::erase_if(running, [&](const auto& r) { return g.told_by_next.contains(r); });
   EXPECT_GE(running.size(), 2U);
   EXPECT_EQ(left, running);
@@ -360,9 +368,8 @@
     // The last leader does not hear of it, or it would stop them itself.
     g.w.cut(name_of(g.leader), name_of(g.third), Cut::reset);
     cancel_half(g, g.third);
-    for (int i = 0; i < 60000 && g.w.terms() == term; ++i) g.w.run(Micros{200});
+    ASSERT_NO_FATAL_FAILURE(g.run_until_term_after(term));
     g.w.heal();
-    ASSERT_GT(g.w.terms(), term);
     g.outage(kLongOutage);
     g.w.run(from_seconds(kLongOutage - 1));
     EXPECT_FALSE(g.on_machines().empty());
@@ -384,8 +391,7 @@
     const std::uint64_t term = g.w.terms();
     g.w.crash(0, millis(200));
     g.w.heal();
-    for (int i = 0; i < 60000 && g.w.terms() == term; ++i) g.w.run(Micros{200});
-    ASSERT_GT(g.w.terms(), term);
+    ASSERT_NO_FATAL_FAILURE(g.run_until_term_after(term));
     g.outage(kLongOutage);
     g.w.run(from_seconds(kLongOutage + 20));
     EXPECT_GE(g.confirmations, 5);
@@ -405,8 +411,7 @@
     g.w.crash(g.next, from_seconds(300));
     g.outage(30);
     g.w.run(from_seconds(10));
-    std::set<std::string> left;
-    for (const auto& [ref, task] : g.on_machines()) left.insert(ref);
+    const std::set<std::string> left = g.jobs_on_machines();
     EXPECT_FALSE(left.empty());
     EXPECT_GE(g.told_by_next.size(), 4U);
     for (const std::string& ref : g.told_by_next) EXPECT_FALSE(left.contains(ref)) << ref;
@@ -432,8 +437,7 @@
       g.w.crash(g.third, millis(400));
       if (!standby) g.w.crash(g.next, millis(300));  // so that neither has followed anything
       g.w.heal();
-      for (int i = 0; i < 60000 && g.w.terms() == term; ++i) g.w.run(Micros{200});
-      ASSERT_GT(g.w.terms(), term);
+      ASSERT_NO_FATAL_FAILURE(g.run_until_term_after(term));
       g.outage(kLongOutage);
       g.w.run(from_seconds(kLongOutage + 20));
       EXPECT_GE(g.confirmations, 5);
