Answers keep their order over all nodes, by when each is given

Cause: a node answered a question by what it had asked the state service before another node told more: 404 or 'pending' after 'done' or 'withdrawn' elsewhere; on one node as well, where neither record was found while the job was accepted here, or what was told had been forgotten.

Change: AnswerOrder (package desk) says when an answer may be given. Whoever tells first that a job is accepted, done or cancelled announces it to the peers, in heartbeats pushed at once, and answers once all have confirmed or would not answer before any more (200 ms, or 600 ms for what is over). Reads carry when they were sent; the store takes no answer that is older than its time, also after a standstill. Numbered rows of Cancellations are a class of their own now, NumberedLog, used by both. Heartbeats that are pushed leave progress out.

--- a/lab/models/checker.cpp
+++ b/lab/models/checker.cpp
@@ -30,6 +30,7 @@
 
 void Checker::answered_submit(Instant now, const std::string& ref, int status) {
   if (status == 200 || status == 201) {
+    if (never_.contains(ref)) breaks("accepted_in_vain", ref + " can never run or lacks a field");
     accepted_.insert(ref);
     answered(now, ref);
   }
@@ -75,6 +76,35 @@
   }
 }
 
+void Checker::given(Instant now, const std::string& node, const Request& request, const Response& response) {
+  static const std::string kBase = "/submissions";
+  if (!request.target.starts_with(kBase)) return;
+  const auto body = decode(response.body);
+  const std::string* state = body ? (*body)["status"].text() : nullptr;
+  std::string ref;
+  bool submits = request.target == kBase;
+  if (submits) {
+    const auto spec = decode(request.body);
+    if (const std::string* r = spec ? (*spec)["ref"].text() : nullptr) ref = *r;
+  } else {
+    ref = request.target.substr(kBase.size() + 1);
+    ref.resize(std::min(ref.find('/'), ref.size()));
+  }
+  if (ref.empty()) return;
+  int level = 0;
+  if (response.status == 200 || response.status == 201) {
+    if (state == nullptr) return;
+    level = *state == "done" || *state == "withdrawn" ? 2 : 1;
+  } else if (response.status != 404 && !(submits && (response.status == 400 || response.status == 422))) {
+    return;
+  }
+  const std::string what = (level > 0 ? *state : std::to_string(response.status)) + " by " + node + " at " +
+                           std::to_string(to_seconds(now.time_since_epoch())) + " s";
+  Told& told = told_[ref];
+  if (level < told.level) breaks("older_answer", ref + ": " + what + ", after " + told.what);
+  if (level > told.level) told = {level, what};
+}
+
 void Checker::started(Instant now, const std::string& ref, std::uint32_t task, const std::string& host,
                       const std::string& flavor, const std::string& site, bool standby) {
   ++starts_;
--- a/lab/models/include/wrenusher/lab/checker.hpp
+++ b/lab/models/include/wrenusher/lab/checker.hpp
@@ -7,6 +7,7 @@
 #include <string>
 #include <vector>
 
+#include "wrenusher/base/runtime.hpp"
 #include "wrenusher/protocol/messages.hpp"
 #include "wrenusher/settings/settings.hpp"
 #include "wrenusher/topology/topology.hpp"
@@ -37,6 +38,12 @@
   void answered_poll(Instant now, const std::string& ref, int status, const std::string& state,
                      Instant asked);
 
+  /// A node gives an answer to a user: the order is kept by when that is, over all nodes, whoever asked and
+  /// however long the answer then takes.
+  void given(Instant now, const std::string& node, const Request& request, const Response& response);
+  /// The job can never run, or its description lacks a field: it must not be accepted.
+  void never(const std::string& ref) { never_.insert(ref); }
+
   /// A task is on its machine from the moment it has its image until it exits or the machine is gone.
   void started(Instant now, const std::string& ref, std::uint32_t task, const std::string& host,
                const std::string& flavor, const std::string& site, bool standby);
@@ -79,6 +86,10 @@
   std::vector<std::string> open() const;
   const JobSpec& spec(const std::string& ref) const { return specs_.at(ref); }
   bool on_a_machine(const std::string& ref) const;
+  bool all_done(const std::string& ref) const {
+    const auto it = completed_.find(ref);
+    return it != completed_.end() && it->second.size() == specs_.at(ref).units;
+  }
   bool is_done(const std::string& ref, std::uint32_t task) const {
     const auto it = completed_.find(ref);
     return it != completed_.end() && it->second.contains(task);
@@ -115,6 +126,13 @@
   void breaks(const std::string& rule, const std::string& note);
   void final_state(Instant now, const std::string& ref, const std::string& state);
 
+  /// The most that any node has told of a job: 0 not known, 1 accepted, 2 over.
+  struct Told {
+    int level = 0;
+    std::string what;
+  };
+  std::map<std::string, Told> told_;
+  std::set<std::string> never_;
   const Settings& settings_;
   std::shared_ptr<const topology::Topology> topology_;
   std::map<std::string, double> most_in_one_;
--- a/lab/models/include/wrenusher/lab/machines.hpp
+++ b/lab/models/include/wrenusher/lab/machines.hpp
@@ -73,6 +73,8 @@
   /// Tells when a task starts and how long it runs; a driver's accounts.
   std::function<void(const std::string& ref, std::uint32_t task)> on_start;
   std::function<void(const std::string& ref, std::uint32_t task)> on_done;
+  /// The last task of a job has ended.
+  std::function<void(const std::string& ref)> on_end;
   /// A worker takes an order to run a task; whether it has the image already.
   std::function<void(const std::string& ref, std::uint32_t task, std::uint64_t attempt, bool has_image)>
       on_order;
--- a/lab/models/include/wrenusher/lab/users.hpp
+++ b/lab/models/include/wrenusher/lab/users.hpp
@@ -14,6 +14,9 @@
   /// Begins to probe.
   void start();
   void send(const Request& r, Micros timeout, Done done);
+  /// To one node, whatever it is like.
+  void send_to(std::size_t node, const Request& r, Micros timeout, Done done);
+  std::size_t nodes() const { return nodes_.size(); }
 
  private:
   struct Node {
@@ -46,6 +49,14 @@
   void submit(const JobTruth& job);
   void withdraw(const std::string& ref);
   void ask_more_often(double factor) { ask_often_ = factor; }
+  /// Whether users look at all nodes, closely, after each answer that tells them something new.
+  void look_closely(bool yes) { close_looks_ = yes; }
+  /// For so long: repeated submissions, cancellations of what is over, jobs that can't be accepted.
+  void ask_oddly(Micros lasts);
+  /// This share of the jobs is cancelled as their last task ends.
+  void cancel_at_end(double share) { cancel_at_end_ = share; }
+  /// The last task of the job has just ended.
+  void ended(const std::string& ref);
   /// The last state that the job's user was told; empty before any.
   std::string told(const std::string& ref) const;
   /// Accepted and neither done nor withdrawn, as far as users were told.
@@ -64,6 +75,8 @@
  private:
   void ask_again(const JobSpec& spec);
   void poll(const std::string& ref, int left_after_end);
+  void look(const std::string& ref);
+  void submit_badly(bool fits_nothing);
 
   Wires& wires_;
   Balancer& balancer_;
@@ -71,6 +84,9 @@
   Checker& checker_;
   std::map<std::string, Outcome> jobs_;
   double ask_often_ = 1;
+  bool close_looks_ = false;
+  double cancel_at_end_ = 0;
+  int odd_ = 0;
 };
 
 /// A job of a class of the site, drawn anew.
--- a/lab/models/machines.cpp
+++ b/lab/models/machines.cpp
@@ -519,6 +519,7 @@
       work_.done += to_seconds(t.progress) * cores;
       if (on_done) on_done(t.ref, i);
     }
+    if (on_end && checker_.all_done(t.ref)) on_end(t.ref);
   } else if (t.status == "running" || t.status == "saving") {
     const Micros kept = saved_[{t.ref, spec.shape == Shape::gang ? 0 : t.task}];
     if (spec.shape != Shape::daemon)
--- a/lab/models/site.cpp
+++ b/lab/models/site.cpp
@@ -203,6 +203,15 @@
       {"late_writes",
        "a `share` of the transactions (0: 0.2) gets no answer and is carried out 2 to 12 s later, once"},
       {"question_storm", "users ask about their jobs eight times as often for `lasts`"},
+      {"close_looks",
+       "for `lasts` users ask at all nodes, within milliseconds and again, once a job was accepted, is over "
+       "or "
+       "is confirmed as cancelled, and repeat the submission; some cancel at once"},
+      {"odd_requests",
+       "for `lasts` users repeat submissions of unfinished jobs, cancel jobs that are done, and send jobs "
+       "that "
+       "fit nothing or lack a field"},
+      {"cancel_at_end", "for `lasts` a `share` of the jobs (0: 0.2) is cancelled as its last task ends"},
       {"boots_late", "new machines take six times as long for `lasts`, three in ten never come up"},
       {"state_outage", "the state service answers 503 for `lasts`"},
       {"state_refuses", "the state service refuses one controller for `lasts`"},
--- a/lab/sim/world.cpp
+++ b/lab/sim/world.cpp
@@ -167,6 +167,7 @@
   wires_.serve_at(kCloud, "cloud", [this](const std::string& from, const Request& r, const Answer& a) {
     cloud_.serve(from, r, a);
   });
+  machines_.on_end = [this](const std::string& ref) { users_.ended(ref); };
   machines_.controllers(controllers(site_.controllers));
   cloud_.furnish();
   nodes_.resize(static_cast<std::size_t>(site_.controllers));
@@ -196,8 +197,13 @@
   node = std::make_unique<Node>(wires_, name, 1.0 + uniform(0, 0.0005), s,
                                 [this](const std::string&) { return std::optional(site_.topology_text); });
   Node* n = node.get();
-  wires_.serve_at(client_of(i), name, [n](const std::string&, const Request& r, const Answer& a) {
-    n->runtime.run([n, r, a] { n->controller.serve_client(r, a); });
+  wires_.serve_at(client_of(i), name, [this, n](const std::string&, const Request& r, const Answer& a) {
+    n->runtime.run([this, n, r, a] {
+      n->controller.serve_client(r, [this, n, r, a](const Response& given) {
+        checker.given(now(), n->name, r, given);
+        a(given);
+      });
+    });
   });
   wires_.serve_at(peer_of(i), name, [n](const std::string&, const Request& r, const Answer& a) {
     n->runtime.run([n, r, a] { n->controller.serve_peer(r, a); });
@@ -374,6 +380,14 @@
   } else if (t.what == "question_storm") {
     storm(8);
     ends([this] { storm(1); });
+  } else if (t.what == "close_looks") {
+    users_.look_closely(true);
+    ends([this] { users_.look_closely(false); });
+  } else if (t.what == "odd_requests") {
+    users_.ask_oddly(t.lasts);
+  } else if (t.what == "cancel_at_end") {
+    users_.cancel_at_end(t.share > 0 ? t.share : 0.2);
+    ends([this] { users_.cancel_at_end(0); });
   } else if (t.what == "boots_late") {
     boots(6, 0.3);
     ends([this] { boots(1, 0); });
--- a/src/controller/controller.cpp
+++ b/src/controller/controller.cpp
@@ -65,6 +65,13 @@
   wire(rt, ledger_.cancellations_read, peer_, &Peer::on_read);
   wire(rt, standby_.cancellations_read, peer_, &Peer::on_read);
 
+  // Before a user is told something new the peers know that it is about to be.
+  wire(rt, frontdesk_.announcing, peer_, &Peer::on_announce);
+  wire(rt, peer_.announced, frontdesk_, &Frontdesk::on_announced);
+  wire(rt, peer_.confirmed, frontdesk_, &Frontdesk::on_confirmed);
+  wire(rt, standby_.followed, frontdesk_, &Frontdesk::on_followed);
+  wire(rt, ledger_.followed, frontdesk_, &Frontdesk::on_followed);
+
   wire(rt, frontdesk_.withdrawn, peer_, &Peer::on_withdrawn);
   wire(rt, frontdesk_.withdrawn, ledger_, &Ledger::on_withdrawn);
   wire(rt, frontdesk_.withdrawn, fleet_, &Fleet::on_withdrawn);
--- a/src/desk/frontdesk.cpp
+++ b/src/desk/frontdesk.cpp
@@ -15,6 +15,8 @@
 constexpr Micros kFreshPeer = from_seconds(2);
 constexpr std::size_t kMostKnown = 4000;
 constexpr int kWithdrawTries = 4;
+/// The state service is asked so often for an answer that may be given.
+constexpr int kAskTries = 3;
 /// Polls that come this close together share a comparison from the start; more gather while it is under way.
 constexpr Micros kGather = millis(10);
 /// Questions that wait for a comparison; what is over is refused at once.
@@ -51,10 +53,17 @@
 }  // namespace
 
 Frontdesk::Frontdesk(Runtime& rt, const Settings& settings, Store& store)
-    : rt_(rt), settings_(settings), store_(store) {}
+    : rt_(rt), settings_(settings), store_(store), order_(settings.peers.empty()) {}
 
 void Frontdesk::on_peer(const PeerNews& news) {
-  if (news.reached) peers_[news.node] = {*news.reached, news.store};
+  if (!news.reached) return;
+  auto& seen_here = peers_[news.node];
+  seen_here = {std::max(seen_here.first, *news.reached), news.store};
+  // What they had announced by then came before, in the order of the mail.
+  if (peers_.size() < settings_.peers.size()) return;
+  Instant all = Instant::max();
+  for (const auto& [node, seen] : peers_) all = std::min(all, seen.first);
+  order_.in_touch(all);
 }
 
 void Frontdesk::on_progress(const std::shared_ptr<const Progress>& p) {
@@ -118,6 +127,7 @@
 }
 
 void Frontdesk::remember(const std::string& ref, const State& s) {
+  order_.seen(ref, Level::over, rt_.now());
   if (!finals_.emplace(ref, s).second) return;
   finals_order_.push_back(ref);
   if (finals_order_.size() > kMostFinals) {
@@ -127,6 +137,7 @@
 }
 
 void Frontdesk::know(const std::string& ref, const Known& k) {
+  order_.seen(ref, k.withdrawn ? Level::over : Level::accepted, rt_.now());
   const auto [it, added] = known_.try_emplace(ref, k);
   if (!added) {
     // Answers of the state service may pass one another: a stamp never goes back.
@@ -160,11 +171,11 @@
 /// second there are.
 void Frontdesk::lookup(const std::string& ref, std::function<void(Found)> done) {
   if (const auto it = finals_.find(ref); it != finals_.end()) {
-    done(Found{false, it->second});
+    done(Found{false, it->second, rt_.now()});
   } else if (!known_.contains(ref)) {
     read(ref, done);
   } else if (checks_.size() >= kMostChecks) {
-    done(Found{true, std::nullopt, true});
+    done(Found{true, std::nullopt, {}, true});
   } else {
     checks_.push_back({ref, std::move(done)});
     if (checking_) return;
@@ -202,7 +213,7 @@
   for (Check& a : asked) {
     const auto it = known_.find(a.ref);
     if (c.result == Commit::Result::committed && it != known_.end()) {
-      a.done(Found{false, newest(a.ref)});
+      a.done(Found{false, newest(a.ref), c.sent});
     } else if (c.result == Commit::Result::conflict) {
       // What has changed is read anew; the rest is asked once more, since nothing says that it was compared.
       const bool failed = c.failed.empty() || std::find(c.failed.begin(), c.failed.end(),
@@ -229,33 +240,113 @@
     if (!live.rows.empty()) {
       const bool gone = live.rows[0].value["wd"].boolean().value_or(false);
       know(ref, {live.rows[0].stamp, gone});
-      done(Found{false, newest(ref)});
+      done(Found{false, newest(ref), live.sent});
       return;
     }
-    store_.get(records::end_key(ref), Store::Urgent::user, [this, ref, done](Read end) {
+    store_.get(records::end_key(ref), Store::Urgent::user, [this, ref, done, sent = live.sent](Read end) {
       if (end.result != Read::Result::ok) {
         done({});
         return;
       }
       if (end.rows.empty()) {
-        done(Found{false, std::nullopt});
+        // Between the two it may have been accepted: it was not known when the first was asked.
+        done(Found{false, std::nullopt, sent});
         return;
       }
       State fin;
       fin.status = end.rows[0].value["s"].text() != nullptr ? *end.rows[0].value["s"].text() : "done";
       fin.done = end.rows[0].value["n"].count().value_or(0);
       remember(ref, fin);
-      done(Found{false, fin});
+      done(Found{false, fin, sent});
     });
   });
 }
 
+Level Frontdesk::level_of(const Found& f) const {
+  if (!f.state) return Level::absent;
+  return f.state->status == "done" || f.state->status == "withdrawn" ? Level::over : Level::accepted;
+}
+
+/// What the state service has, asked again where meanwhile more may have been told than the answer says.
+void Frontdesk::ask(const std::string& ref, int tries, const std::function<void(Found)>& done) {
+  if (tries == 0) {
+    done({});
+    return;
+  }
+  lookup(ref, [this, ref, tries, done](const Found& f) {
+    if (f.failed || order_.stands(ref, level_of(f), f.sent, rt_.now())) {
+      done(f);
+    } else {
+      ask(ref, tries - 1, done);
+    }
+  });
+}
+
+/// Tells a user of a job that is known, once no other node gives an older answer any more. Whoever does so
+/// says it to the peers first; what has been known here for a while needs no word.
+void Frontdesk::tell(const std::string& ref, const Found& f, const Say& say, const Answer& answer) {
+  const Level level = level_of(f);
+  const Instant now = rt_.now();
+  order_.seen(ref, level, now);
+  // From the answer on a cancelled job's tasks have so long to be gone: it goes out once this node counts the
+  // cancellation among those that it has told, in the order of its mail. A poll may be the first to tell,
+  // when the answer to the cancellation was lost. What has ended has no tasks any more.
+  const bool cancelled = f.state->status == "withdrawn" && !finals_.contains(ref);
+  if (cancelled) withdrawn(JobWithdrawn{ref});
+  const Instant at = order_.may_tell(ref, level, now);
+  if (at > now) {
+    auto& waiting = held_[{ref, level}];
+    waiting.push_back([this, ref, f, say, answer] { give(ref, f, say, answer); });
+    if (waiting.size() > 1) return;
+    order_.announce(ref, level, now);
+    announcing(Announcement{ref, level});
+    rt_.after(at - now, [this, ref, level] { release(ref, level); });
+  } else if (cancelled) {
+    rt_.post([answer, response = say(*f.state)] { answer(response); });
+  } else {
+    give(ref, f, say, answer);
+  }
+}
+
+/// The one place where a user is told of a job that is known, but for cancellations. The answer may have
+/// waited, here or on its way from the state service, and more may have been told meanwhile.
+void Frontdesk::give(const std::string& ref, const Found& f, const Say& say, const Answer& answer) {
+  if (order_.stands(ref, level_of(f), f.sent, rt_.now())) {
+    answer(say(*f.state));
+    return;
+  }
+  ask(ref, kAskTries, [this, ref, say, answer](const Found& now) {
+    if (now.failed || !now.state) {
+      answer(no_state());
+    } else {
+      tell(ref, now, say, answer);
+    }
+  });
+}
+
+void Frontdesk::release(const std::string& ref, Level level) {
+  const auto waiting = held_.extract({ref, level});
+  if (waiting.empty()) return;
+  for (const auto& answer : waiting.mapped()) answer();
+}
+
+void Frontdesk::on_confirmed(const Announcement& a) {
+  order_.confirmed(a.ref, a.level);
+  release(a.ref, a.level);
+}
+
+void Frontdesk::on_followed(const RecordsFollowed& f) {
+  for (const std::string& ref : f.live) order_.seen(ref, Level::accepted, rt_.now());
+  for (const std::string& ref : f.over) order_.seen(ref, Level::over, rt_.now());
+}
+
 void Frontdesk::known_or(const std::string& ref, Response otherwise, const Answer& answer) {
-  lookup(ref, [this, ref, otherwise = std::move(otherwise), answer](const Found& f) {
+  ask(ref, kAskTries, [this, ref, otherwise = std::move(otherwise), answer](const Found& f) {
     if (f.failed) {
       answer(f.busy ? busy() : no_state());
     } else if (f.state) {
-      tell_state(ref, *f.state, answer, status_response(200, ref, f.state->status));
+      tell(
+          ref, f, [ref](const State& s) { return status_response(200, ref, s.status); }, answer);
     } else {
       answer(otherwise);
     }
@@ -327,7 +418,12 @@
         switch (c.result) {
           case Commit::Result::committed:
             know(id, {c.revision, false});
-            answer(status_response(201, id, "pending"));
+            tell(
+                id, Found{false, State{"pending", 0, 0}, c.sent},
+                [id](const State& s) {
+                  return status_response(s.status == "pending" ? 201 : 200, id, s.status);
+                },
+                answer);
             break;
           case Commit::Result::conflict:
           case Commit::Result::unknown:
@@ -344,40 +440,25 @@
 }
 
 void Frontdesk::poll(const std::string& ref, const Answer& answer) {
-  lookup(ref, [this, ref, answer](const Found& f) {
+  ask(ref, kAskTries, [this, ref, answer](const Found& f) {
     if (f.failed) {
       answer(f.busy ? busy() : no_state());
     } else if (!f.state) {
       answer(unknown_job(ref));
     } else {
-      tell_state(ref, *f.state, answer,
-                 {200,
-                  encode(Value::Map{{"ref", ref},
-                                    {"status", f.state->status},
-                                    {"done", f.state->done},
-                                    {"running", f.state->running}}),
-                  0});
+      tell(
+          ref, f,
+          [ref](const State& s) -> Response {
+            return {200,
+                    encode(Value::Map{
+                        {"ref", ref}, {"status", s.status}, {"done", s.done}, {"running", s.running}}),
+                    0};
+          },
+          answer);
     }
   });
 }
 
-/// From this answer on the job's tasks have so long to be gone: it goes out once this node counts the
-/// cancellation among those that it has told, in the order of its mail. A poll may be the first to tell, when
-/// the answer to the cancellation was lost.
-void Frontdesk::tell_withdrawn(const std::string& ref, const Answer& answer, Response response) {
-  withdrawn(JobWithdrawn{ref});
-  rt_.post([answer, response = std::move(response)] { answer(response); });
-}
-
-void Frontdesk::tell_state(const std::string& ref, const State& s, const Answer& answer, Response response) {
-  // What has ended has no tasks any more.
-  if (s.status == "withdrawn" && !finals_.contains(ref)) {
-    tell_withdrawn(ref, answer, std::move(response));
-  } else {
-    answer(std::move(response));
-  }
-}
-
 void Frontdesk::withdraw(const std::string& ref, int tries, const Answer& answer) {
   if (tries == 0) {
     answer(busy());
@@ -392,16 +473,18 @@
       known_or(ref, unknown_job(ref), answer);
       return;
     }
+    const auto say = [ref](const State& s) { return status_response(200, ref, s.status); };
     if (r.rows[0].value["wd"].boolean().value_or(false)) {
-      tell_withdrawn(ref, answer, status_response(200, ref, "withdrawn"));
+      know(ref, {r.rows[0].stamp, true});
+      tell(ref, Found{false, newest(ref), r.sent}, say, answer);
       return;
     }
     store_.commit({{r.rows[0].key, r.rows[0].stamp}},
                   {{r.rows[0].key, records::withdrawn(r.rows[0].value), 0}}, Store::Urgent::user,
-                  [this, ref, tries, answer](const Commit& c) {
+                  [this, ref, tries, say, answer](const Commit& c) {
                     if (c.result == Commit::Result::committed) {
                       know(ref, {c.revision, true});
-                      tell_withdrawn(ref, answer, status_response(200, ref, "withdrawn"));
+                      tell(ref, Found{false, newest(ref), c.sent}, say, answer);
                     } else if (c.result == Commit::Result::refused) {
                       answer(no_state());
                     } else {
--- /dev/null
+++ b/src/desk/include/wrenusher/desk/answer_order.hpp
@@ -0,0 +1,76 @@
+#pragma once
+// The order that answers to users keep over all nodes: once any node has told that a job is accepted, none
+// says that it is not known; once any has told that it is done or cancelled, none says that it is live. By
+// when each answer is given, not by when it was asked for. docs/design.md, "The order of answers", has the
+// proof. A pure state machine: it owns what is known of each job's last changes, and asks nobody itself.
+
+#include <array>
+#include <deque>
+#include <string>
+#include <unordered_map>
+
+#include "wrenusher/base/time.hpp"
+#include "wrenusher/mail/mail.hpp"
+#include "wrenusher/store/store.hpp"
+
+namespace wrenusher::desk {
+
+using namespace base;
+using mail::Level;
+
+class AnswerOrder {
+ public:
+  /// An answer that says that a job is not known is given this long at most after the state service was
+  /// asked.
+  static constexpr Micros kAbsentLife = millis(150);
+  /// One that says that it is live is given this long after, or while every peer has been in touch for so
+  /// long, in which it would have announced what is newer: heartbeats come twice a second.
+  static constexpr Micros kLiveLife = millis(550);
+  /// Later than this the state service's answer is none, see Store.
+  static constexpr Micros kAnswerLife = store::Store::kAnswerLife;
+  /// For clocks, beyond each.
+  static constexpr Micros kMargin = millis(50);
+
+  explicit AnswerOrder(bool alone) : alone_(alone) {}
+
+  /// This node has learned that the job has got so far; what was known before stays as it was.
+  void seen(const std::string& ref, Level level, Instant now);
+  /// A peer is about to tell of it: what was asked for before now may be older.
+  void announced(const std::string& ref, Level level, Instant now);
+  /// This node is about to tell of it, and says so to its peers now.
+  void announce(const std::string& ref, Level level, Instant now);
+  /// Every peer has been told that this node is about to tell of it.
+  void confirmed(const std::string& ref, Level level);
+
+  /// Every announcement that any peer made before `through` is known here.
+  void in_touch(Instant through) { in_touch_ = std::max(in_touch_, through); }
+
+  /// From when on this node may tell that the job has got so far, if it announces that now at the latest: no
+  /// other node gives an older answer after that. `now` where that is so already.
+  Instant may_tell(const std::string& ref, Level level, Instant now) const;
+  /// Whether an answer of this level, by what the state service was asked at `sent` and later, may be given
+  /// now. Otherwise the state service has to be asked again.
+  bool stands(const std::string& ref, Level level, Instant sent, Instant now) const;
+
+  std::size_t kept() const { return jobs_.size(); }
+
+ private:
+  static constexpr std::size_t kLevels = 2;
+  static std::size_t at(Level level) { return level == Level::over ? 1 : 0; }
+  struct Job {
+    std::array<Instant, kLevels> since{Instant::max(), Instant::max()};
+    std::array<Instant, kLevels> announced{Instant::max(), Instant::max()};
+    std::array<bool, kLevels> confirmed{};
+    /// Answers of a lower level are older than this unless they were asked for since.
+    std::array<Instant, kLevels> newer{Instant::min(), Instant::min()};
+    Instant touched{};
+  };
+  Job& touch(const std::string& ref, Instant now);
+
+  bool alone_;
+  Instant in_touch_ = Instant::min();
+  std::unordered_map<std::string, Job> jobs_;
+  std::deque<std::pair<Instant, std::string>> order_;
+};
+
+}  // namespace wrenusher::desk
--- a/src/desk/include/wrenusher/desk/frontdesk.hpp
+++ b/src/desk/include/wrenusher/desk/frontdesk.hpp
@@ -1,12 +1,14 @@
 #pragma once
 // Package desk: users' requests, on any node. Everything is decided by the state service, nothing by this
-// node's memory but final states; it owns the cache of those and the questions that the next comparison
-// settles. It may depend on base, settings, protocol, store, records and mail.
+// node's memory but final states; it owns the cache of those, the questions that the next comparison settles,
+// and the answers that wait until they may be given (AnswerOrder). It may depend on base, settings, protocol,
+// store, records and mail.
 
 #include <deque>
 #include <memory>
 #include <unordered_map>
 
+#include "wrenusher/desk/answer_order.hpp"
 #include "wrenusher/mail/mail.hpp"
 #include "wrenusher/settings/settings.hpp"
 #include "wrenusher/store/store.hpp"
@@ -28,8 +30,14 @@
   void on_catalog(const CatalogSeen& c) { catalog_ = c.catalog; }
   void on_progress(const std::shared_ptr<const Progress>& p);
   void on_peer(const PeerNews& news);
+  void on_followed(const RecordsFollowed& f);
+  /// A peer is about to tell a user so.
+  void on_announced(const Announcement& a) { order_.announced(a.ref, a.level, rt_.now()); }
+  /// Every peer knows that this node is about to.
+  void on_confirmed(const Announcement& a);
 
   Sink<JobWithdrawn> withdrawn;
+  Sink<Announcement> announcing;
 
  private:
   struct State {
@@ -41,8 +49,11 @@
   struct Found {
     bool failed = true;
     std::optional<State> state;
+    Instant sent{};     ///< it was so then, or later
     bool busy = false;  ///< failed since too much waits here
   };
+  /// What to answer a user who asked for a job that is in this state.
+  using Say = std::function<Response(const State&)>;
   /// A live record as it was last read.
   struct Known {
     std::uint64_t stamp = 0;
@@ -59,12 +70,15 @@
   void know(const std::string& ref, const Known& k);
   State live_state(const std::string& ref, bool gone) const;
   State newest(const std::string& ref) const;
+  Level level_of(const Found& f) const;
+  void ask(const std::string& ref, int tries, const std::function<void(Found)>& done);
   std::optional<Fault> never(const JobSpec& spec, const Team* team) const;
   void submit(const Request& request, const Answer& answer);
   void poll(const std::string& ref, const Answer& answer);
   void withdraw(const std::string& ref, int tries, const Answer& answer);
-  void tell_withdrawn(const std::string& ref, const Answer& answer, Response response);
-  void tell_state(const std::string& ref, const State& s, const Answer& answer, Response response);
+  void tell(const std::string& ref, const Found& f, const Say& say, const Answer& answer);
+  void give(const std::string& ref, const Found& f, const Say& say, const Answer& answer);
+  void release(const std::string& ref, Level level);
   void known_or(const std::string& ref, Response otherwise, const Answer& answer);
   void remember(const std::string& ref, const State& s);
   bool ready() const;
@@ -82,6 +96,9 @@
   std::deque<std::string> finals_order_;
   std::unordered_map<std::string, Known> known_;
   std::deque<std::string> known_order_;
+  AnswerOrder order_;
+  /// Answers that wait until they may be given.
+  std::map<std::pair<std::string, Level>, std::vector<std::function<void()>>> held_;
   /// Questions that the next comparison settles.
   std::deque<Check> checks_;
   bool checking_ = false;
--- a/src/ledger/include/wrenusher/ledger/ledger.hpp
+++ b/src/ledger/include/wrenusher/ledger/ledger.hpp
@@ -61,6 +61,7 @@
   Sink<std::shared_ptr<const LedgerHints>> hints;
   Sink<TakenOver> taken_over;
   Sink<CancellationsRead> cancellations_read;
+  Sink<RecordsFollowed> followed;
 
  private:
   /// Leads, and has read what there is.
--- a/src/ledger/ledger.cpp
+++ b/src/ledger/ledger.cpp
@@ -182,6 +182,10 @@
       if (row.value["wd"].boolean().value_or(false)) withdraw(*job);
     }
   }
+  RecordsFollowed seen;
+  for (const Row& row : f.puts) seen.put(row.key, row.value);
+  for (const auto& [key, stamp] : f.deletes) seen.gone(key);
+  followed(seen);
   wake();
 }
 
--- a/src/mail/include/wrenusher/mail/mail.hpp
+++ b/src/mail/include/wrenusher/mail/mail.hpp
@@ -237,6 +237,36 @@
   std::string ref;
 };
 
+/// How far a job has got, as users are told of it. Answers about it never go back.
+enum class Level {
+  absent,    ///< not known
+  accepted,  ///< pending or running
+  over       ///< done or withdrawn
+};
+
+/// This node is about to tell a user that the job has got so far, and waits for its peers to know; or a peer
+/// is; or, the other way, every peer knows.
+struct Announcement {
+  std::string ref;
+  Level level = Level::accepted;
+};
+
+/// What a follow of the live records has shown of jobs.
+struct RecordsFollowed {
+  std::vector<std::string> live;
+  std::vector<std::string> over;
+  void put(const std::string& key, const Value& record) {
+    if (auto cancelled = records::cancelled_job(key, record)) {
+      over.push_back(std::move(*cancelled));
+    } else if (auto ref = records::parse_job_key(key)) {
+      live.push_back(std::move(*ref));
+    }
+  }
+  void gone(const std::string& key) {
+    if (auto ref = records::parse_job_key(key)) over.push_back(std::move(*ref));
+  }
+};
+
 /// The state service was asked then, and has answered with every cancellation of a live job that it had.
 struct CancellationsRead {
   Instant asked{};
--- a/src/membership/include/wrenusher/membership/cancellations.hpp
+++ b/src/membership/include/wrenusher/membership/cancellations.hpp
@@ -9,30 +9,27 @@
 #include <map>
 #include <optional>
 #include <string>
-#include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
-#include "wrenusher/protocol/messages.hpp"
+#include "wrenusher/membership/numbered_log.hpp"
 
 namespace wrenusher::membership {
 
-using namespace base;
-using namespace protocol;
-
 class Cancellations {
  public:
   /// Before anything: nothing that was told is known to be known.
   static constexpr Instant kNever = Instant::min();
 
   /// `life`: of this process, never 0, another for each.
-  Cancellations(std::uint64_t life, std::vector<std::string> peers);
+  Cancellations(std::uint64_t life, const std::vector<std::string>& peers);
   /// `kept`: how long what was told is not numbered anew when it is told again.
   void begin(Instant now, Micros kept);
 
   /// A user is about to be told here; false: a peer is still to get it, or got it of late.
   bool tell(const std::string& ref, Instant now);
   /// The fields of a heartbeat to that peer: what it has not confirmed yet, and what this node has of it.
-  void write(const std::string& peer, Value::Map& out) const;
+  void write(const std::string& peer, Value::Map& out) const { log_.write(peer, out); }
 
   struct Taken {
     std::vector<std::string> refs;  ///< cancelled jobs, some known before
@@ -47,29 +44,23 @@
   Instant through() const;
   /// The peer that knowledge waits for longest; empty: none.
   std::string behind() const;
-  std::size_t kept() const { return rows_.size(); }
+  std::size_t kept() const { return log_.kept(); }
 
  private:
-  struct PeerLog {
-    std::uint64_t life = 0;
-    std::uint64_t got = 0;       ///< every row up to this number of that life, or of before it was met
+  struct PeerKnown {
     Instant met = kNever;        ///< what was told before is known only once the state service was read since
     bool owed = false;           ///< it has not been yet
     Instant exchanged = kNever;  ///< the newest question whose answer left nothing open
     Instant through = kNever;
-    std::uint64_t has = 0;  ///< what the peer has of this node's rows
   };
-  std::uint64_t last() const { return first_ + rows_.size() - 1; }
-  void trim();
 
-  std::uint64_t life_;
+  NumberedLog log_;
   Instant began_ = kNever;
   Micros kept_for_{};
   Instant read_ = kNever;
-  std::deque<std::string> rows_;
-  std::uint64_t first_ = 1;  ///< number of rows_.front()
-  std::map<std::string, PeerLog> peers_;
-  std::unordered_map<std::string, Instant> told_;
+  std::map<std::string, PeerKnown> peers_;
+  /// Numbered of late, and in which order.
+  std::unordered_set<std::string> told_;
   std::deque<std::pair<Instant, std::string>> told_order_;
 };
 
--- a/src/membership/include/wrenusher/membership/peer.hpp
+++ b/src/membership/include/wrenusher/membership/peer.hpp
@@ -1,6 +1,6 @@
 #pragma once
-// Heartbeats between controllers: epoch, leader, what each can reach, cancellations just accepted, and what
-// others want to ride along.
+// Heartbeats between controllers: epoch, leader, what each can reach, cancellations just accepted, what users
+// are about to be told, and what others want to ride along.
 
 #include <deque>
 #include <memory>
@@ -29,6 +29,7 @@
   void on_hearing(const Hearing& h) { hears_ = h.hears_workers; }
   void on_withdrawn(const JobWithdrawn& w);
   void on_read(const CancellationsRead& r);
+  void on_announce(const Announcement& a);
   void on_topology(const TopologyRead& t);
   void on_force(const TopologyInForce& t) { force_ = t.edition; }
   void on_progress(const std::shared_ptr<const Progress>& p) { untold_ = p; }
@@ -41,13 +42,20 @@
   Sink<PeerNews> news;
   Sink<JobWithdrawn> withdrawn;
   Sink<CancellationsKnown> known;
+  Sink<Announcement> announced;  ///< a peer is about to tell a user so
+  Sink<Announcement> confirmed;  ///< every peer knows that this node is
   Sink<std::shared_ptr<const Progress>> progress;
 
  private:
   void beat();
-  void send();
+  /// To all peers; `only_news`: without what can wait for the next beat, and not to those that answer
+  /// nothing.
+  void send(bool only_news = false);
   Value describe(const std::string& peer);
+  void write_progress(Value::Map& out) const;
   void push();
+  void take_announcements(const std::string& node, const Value& v);
+  void refuse(const std::string& node, const std::string& fault);
   void take_cancellations(const std::string& node, const Value& v, std::optional<Instant> asked);
   void tell_known();
   bool abstains() const { return rt_.now() < abstains_until_; }
@@ -63,7 +71,10 @@
   topology::Edition mine_;
   topology::Edition force_;
   bool hears_ = false;
+  std::uint64_t life_;
   Cancellations cancellations_;
+  NumberedLog announcements_;
+  std::map<std::string, int> unanswered_;   ///< heartbeats under way, by peer
   Instant pushed_{};                        ///< when the peers were last told at once
   bool pushing_ = false;                    ///< they will be in a moment
   std::set<std::string> refused_;           ///< peer and field of what was refused, each told once
--- a/src/membership/peer.cpp
+++ b/src/membership/peer.cpp
@@ -9,8 +9,13 @@
 namespace {
 constexpr Micros kBeat = millis(500);
 constexpr Micros kTimeout = from_seconds(1);
-/// A burst of cancellations goes out together.
+/// A burst of news goes out together.
 constexpr Micros kPushPause = millis(50);
+/// A peer that has so many heartbeats to answer gets no more than the regular ones.
+constexpr int kMostUnanswered = 3;
+/// Announcements that a peer has not confirmed; after two seconds nobody waits for that any more. No more
+/// than go with one heartbeat, so that each tells all there are.
+constexpr std::size_t kMostAnnounced = 1000;
 /// A node that gave the lead away says for so long whom it wants to lead, and that it does not itself.
 constexpr Micros kAbstains = from_seconds(4);
 std::vector<std::string> names_of(const std::vector<PeerAddress>& peers) {
@@ -19,10 +24,29 @@
   return out;
 }
 
+/// An announcement as it travels: the job, and before it a letter for how far it has got.
+std::string write_announcement(const Announcement& a) {
+  return (a.level == Level::over ? "o:" : "a:") + a.ref;
+}
+
+bool valid_announcement(const std::string& row) {
+  return (row.starts_with("o:") || row.starts_with("a:")) && valid_ref(std::string_view(row).substr(2));
+}
+
+Announcement read_announcement(const std::string& row) {
+  return {row.substr(2), row.front() == 'o' ? Level::over : Level::accepted};
+}
+
 }  // namespace
 
 Peer::Peer(Runtime& rt, const Settings& settings)
-    : rt_(rt), settings_(settings), cancellations_(rt.random()() | 1U, names_of(settings.peers)) {}
+    : rt_(rt),
+      settings_(settings),
+      life_(rt.random()() | 1U),
+      cancellations_(life_, names_of(settings.peers)),
+      announcements_(
+          life_, names_of(settings.peers),
+          {{"told", "told_log", "told_got"}, "announcements", valid_announcement, kMostAnnounced}) {}
 
 void Peer::start() {
   cancellations_.begin(rt_.now(), settings_.cancel);
@@ -37,15 +61,21 @@
   rt_.after(kBeat, [this] { beat(); });
 }
 
-void Peer::send() {
+void Peer::send(bool only_news) {
   for (const PeerAddress& p : settings_.peers) {
+    int& unanswered = unanswered_[p.name];
+    if (only_news && unanswered >= kMostUnanswered) continue;
+    ++unanswered;
     Value::Map all = *describe(p.name).map();
     if (auto a = asides_.extract(p.name)) all.emplace_back("aside", std::move(a.mapped()));
+    if (!only_news) write_progress(all);
     const std::string body = encode(Value(std::move(all)));
-    rt_.fetch(p.at, {"POST", "/beat", body}, kTimeout, [this, asked = rt_.now()](const Outcome& o) {
-      if (!o.answered || o.response.status != 200) return;
-      if (const auto v = decode(o.response.body)) learn(*v, asked);
-    });
+    rt_.fetch(p.at, {"POST", "/beat", body}, kTimeout,
+              [this, name = p.name, asked = rt_.now()](const Outcome& o) {
+                --unanswered_[name];
+                if (!o.answered || o.response.status != 200) return;
+                if (const auto v = decode(o.response.body)) learn(*v, asked);
+              });
   }
 }
 
@@ -53,20 +83,41 @@
   if (cancellations_.tell(w.ref, rt_.now())) push();
 }
 
+/// From the answer to a user on no node may give an older one: the peers are told before, so that they ask
+/// the state service anew where they have asked it already.
+void Peer::on_announce(const Announcement& a) {
+  if (!announcements_.has_peers()) {
+    confirmed(a);
+    return;
+  }
+  announcements_.add(write_announcement(a));
+  push();
+}
+
+void Peer::take_announcements(const std::string& node, const Value& v) {
+  const NumberedLog::Taken t = announcements_.take(node, v);
+  if (!t.fault.empty()) {
+    refuse(node, t.fault);
+    return;
+  }
+  for (const std::string& row : t.rows) announced(read_announcement(row));
+  for (const std::string& row : announcements_.take_confirmed()) confirmed(read_announcement(row));
+}
+
 /// The peers are told at once, since the leader may be without the state service.
 void Peer::push() {
   if (pushing_) return;
   const Micros pause = pushed_ + kPushPause - rt_.now();
   if (pushed_ == Instant{} || pause.count() <= 0) {
     pushed_ = rt_.now();
-    send();
+    send(true);
     return;
   }
   pushing_ = true;
   rt_.after(pause, [this] {
     pushing_ = false;
     pushed_ = rt_.now();
-    send();
+    send(true);
   });
 }
 
@@ -84,15 +135,19 @@
 void Peer::take_cancellations(const std::string& node, const Value& v, std::optional<Instant> asked) {
   const Cancellations::Taken t = cancellations_.take(node, v, asked, rt_.now());
   if (!t.fault.empty()) {
-    if (refused_.insert(node + ": " + t.fault).second)
-      log::warn("heartbeat_refused", "the cancellations in heartbeats of {peer} are not taken: {reason}",
-                log::with("peer", node), log::with("reason", t.fault));
+    refuse(node, t.fault);
     return;
   }
   for (const std::string& ref : t.refs) withdrawn(JobWithdrawn{ref});
   tell_known();
 }
 
+void Peer::refuse(const std::string& node, const std::string& fault) {
+  if (refused_.insert(node + ": " + fault).second)
+    log::warn("heartbeat_refused", "a list in heartbeats of {peer} is not taken: {reason}",
+              log::with("peer", node), log::with("reason", fault));
+}
+
 void Peer::on_term(const TermChanged& t) {
   // Who leads is told at once: until they know, the others send workers nowhere.
   const bool begins = t.leading && !term_.leading;
@@ -120,6 +175,7 @@
                  {"leading", term_.leading}, {"store", store_},      {"hears", hears_},
                  {"since", since_},          {"n", ++said_}};
   cancellations_.write(peer, out);
+  announcements_.write(peer, out);
   write_edition(out, "topology", mine_);
   if (term_.leading) write_edition(out, "in_force", force_);
   out.emplace_back("ready", static_cast<int>(ready_));
@@ -127,15 +183,17 @@
     out.emplace_back("abstains", true);
     if (!successor_.empty()) out.emplace_back("successor", successor_);
   }
-  if (untold_) {
-    Value::List rows;
-    rows.reserve(untold_->rows.size());
-    for (const Progress::Row& r : untold_->rows) rows.emplace_back(Value::List{r.ref, r.done, r.running});
-    out.emplace_back("progress", std::move(rows));
-  }
   return out;
 }
 
+void Peer::write_progress(Value::Map& out) const {
+  if (!untold_) return;
+  Value::List rows;
+  rows.reserve(untold_->rows.size());
+  for (const Progress::Row& r : untold_->rows) rows.emplace_back(Value::List{r.ref, r.done, r.running});
+  out.emplace_back("progress", std::move(rows));
+}
+
 /// Whether this is a peer's newest word. Heartbeats may come twice, long after, and mixed with those of an
 /// earlier life. An answer to a question of this node's is no copy: one that began earlier by its clock is a
 /// new life all the same, whose clock was set.
@@ -168,6 +226,7 @@
   n.abstains = v["abstains"].boolean().value_or(false);
   if (const std::string* s = v["successor"].text()) n.successor = *s;
   take_cancellations(n.node, v, asked);
+  take_announcements(n.node, v);
   if (const Value::List* l = v["progress"].list()) {
     auto p = std::make_shared<Progress>();
     for (const Value& row : *l) {
--- a/src/standby/copy.cpp
+++ b/src/standby/copy.cpp
@@ -179,6 +179,12 @@
   for (const auto& [key, stamp] : f.deletes) apply_delete(data_, key, stamp);
   p.reached = f.revision;
   p.at = rt_.now();
+  if (&p == &parts_[0] && on_followed) {
+    mail::RecordsFollowed followed;
+    for (const Row& row : f.puts) followed.put(row.key, row.value);
+    for (const auto& [key, stamp] : f.deletes) followed.gone(key);
+    on_followed(followed);
+  }
   return true;
 }
 
--- a/src/standby/include/wrenusher/standby/copy.hpp
+++ b/src/standby/include/wrenusher/standby/copy.hpp
@@ -14,6 +14,7 @@
 #include <optional>
 #include <string>
 
+#include "wrenusher/mail/mail.hpp"
 #include "wrenusher/records/records.hpp"
 #include "wrenusher/settings/settings.hpp"
 #include "wrenusher/store/store.hpp"
@@ -46,6 +47,7 @@
   /// The state service was asked then, and these live jobs are cancelled; all others that are were told
   /// before, by this copy or one of before it.
   std::function<void(Instant asked, std::vector<std::string> cancelled)> on_jobs;
+  std::function<void(const mail::RecordsFollowed&)> on_followed;
 
   std::size_t jobs() const { return data_.jobs.size(); }
   std::size_t slots() const { return data_.slots.size(); }
--- a/src/standby/include/wrenusher/standby/standby.hpp
+++ b/src/standby/include/wrenusher/standby/standby.hpp
@@ -37,6 +37,7 @@
   Sink<std::shared_ptr<const Inheritance>> inherited;
   Sink<RecordsCopied> copied;
   Sink<CancellationsRead> cancellations_read;
+  Sink<RecordsFollowed> followed;
 
  private:
   /// What a peer said of itself.
--- a/src/standby/standby.cpp
+++ b/src/standby/standby.cpp
@@ -38,6 +38,7 @@
   copy_.on_jobs = [this](Instant asked, std::vector<std::string> cancelled) {
     cancellations_read(CancellationsRead{asked, std::move(cancelled)});
   };
+  copy_.on_followed = [this](const RecordsFollowed& f) { followed(f); };
   copy_.begin();
   tick();
 }
--- a/src/store/include/wrenusher/store/store.hpp
+++ b/src/store/include/wrenusher/store/store.hpp
@@ -28,6 +28,7 @@
   std::vector<Row> rows;  ///< empty: absent
   bool truncated = false;
   std::uint64_t revision = 0;
+  Instant sent{};  ///< when the service was asked: what it says was so then or later
 };
 
 struct Condition {
@@ -52,6 +53,7 @@
   Result result = Result::refused;
   std::uint64_t revision = 0;
   std::vector<std::string> failed;
+  Instant sent{};  ///< when the service was asked
 };
 
 struct HoldReply {
@@ -105,6 +107,10 @@
   /// once a second where somebody always does. Users' calls are refused at once when too many wait.
   enum class Urgent { hold, schedule, user, spare };
 
+  /// No answer of the service is taken later than this after it was asked (a follow's own wait aside), also
+  /// by a node that stood still meanwhile: AnswerOrder rests on it.
+  static constexpr Micros kAnswerLife = from_seconds(1.5);
+
   Store(Runtime& rt, const Settings& settings);
 
   void get(const std::string& key, Urgent urgent, std::function<void(Read)> done);
--- a/src/store/store.cpp
+++ b/src/store/store.cpp
@@ -8,7 +8,7 @@
 
 namespace {
 
-constexpr Micros kTimeout = from_seconds(1.5);
+constexpr Micros kTimeout = Store::kAnswerLife;
 /// The service counts as out of reach when nothing good came from it for this long.
 constexpr Micros kStale = from_seconds(2.0);
 /// Users' calls beyond this many waiting ones are refused at once.
@@ -90,12 +90,16 @@
 }
 
 void Store::call(Request request, Micros timeout, Done done) {
-  rt_.fetch(settings_.state, std::move(request), timeout, [this, done = std::move(done)](Outcome o) {
-    if (o.answered && o.response.status == 429)
-      backoff_until_ = rt_.now() + millis(100) + rt_.jitter(millis(200));
-    seen(o.answered && o.response.status != 503 && o.response.status != 429);
-    done(std::move(o));
-  });
+  rt_.fetch(settings_.state, std::move(request), timeout,
+            [this, timeout, sent = rt_.now(), done = std::move(done)](Outcome o) {
+              // A node that stood still finds answers that came long ago: what they say may be older than
+              // what others have told since.
+              if (rt_.now() - sent > timeout) o = Outcome{};
+              if (o.answered && o.response.status == 429)
+                backoff_until_ = rt_.now() + millis(100) + rt_.jitter(millis(200));
+              seen(o.answered && o.response.status != 503 && o.response.status != 429);
+              done(std::move(o));
+            });
 }
 
 void Store::submit(Urgent urgent, double writes, std::function<void()> send, std::function<void()> refuse) {
@@ -166,8 +170,9 @@
   submit(
       urgent, 0,
       [this, key, done] {
-        call({"GET", "/store/" + key, {}}, kTimeout, [done](Outcome o) {
+        call({"GET", "/store/" + key, {}}, kTimeout, [done, sent = rt_.now()](Outcome o) {
           Read r;
+          r.sent = sent;
           if (o.answered && (o.response.status == 200 || o.response.status == 404)) {
             if (auto v = decode(o.response.body); v && v->map() != nullptr) {
               r.result = Read::Result::ok;
@@ -228,8 +233,9 @@
   submit(
       urgent, static_cast<double>(apply.size()),
       [this, body = std::move(body), done] {
-        call({"POST", "/multi", body}, kTimeout, [done](Outcome o) {
+        call({"POST", "/multi", body}, kTimeout, [done, sent = rt_.now()](Outcome o) {
           Commit c;
+          c.sent = sent;
           if (!o.answered) {
             c.result = o.sent ? Commit::Result::unknown : Commit::Result::refused;
           } else {
--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -526,6 +526,8 @@
     w.leave_alone(old, Cut::hold);
     until(w, 30, [&] { return w.leader() >= 0 && w.leader() != old; });
     const auto cancelled = World::job(3, 4, 4, 90).ref;
+    // Where it can be taken: at the old leader its user would be told to come back, a second later.
+    w.tell(w.leader(), {"POST", "/submissions/" + cancelled + "/withdraw", {}}, [](const Outcome&) {});
     w.withdraw(cancelled);
     EXPECT_LT(until(w, 120, [&] { return !w.checker.on_a_machine(cancelled); }), c.within_s);
     w.run(from_seconds(60));
