Lab: cancellations all at once, machines that reach no controller, tasks that outlive a hang

What the meeting of teams at their limits needs: mass_cancel (users cancel count running jobs with long to go within a fifth of a second, up to eight of their machines hang), machine_mute (a share of the machines reach no controller and are reached), both in site files and in the drawn meetings. Links tell requests from answers. The checker looks at the very moment at which a hang ends, before what was sent meanwhile is executed, so that a cancelled task stopped just then, too late, is caught as well. A state service that forgets its past, for tests.

--- a/lab/live/live_wires.cpp
+++ b/lab/live/live_wires.cpp
@@ -19,7 +19,7 @@
 
 void LiveWires::send(const std::string& from, const Endpoint& to, Request request, Micros timeout,
                      Done done) {
-  switch (links.between(from, names_[to])) {
+  switch (links.asking(from, names_[to])) {
     case Cut::none:
       rt_.fetch(to, std::move(request), timeout, std::move(done));
       return;
@@ -53,7 +53,7 @@
                          Handler handler) {
   rt_.listen(at, kMostConnections,
              [this, who, from, handler = std::move(handler)](const Request& r, const Answer& answer) {
-               const Cut cut = links.between(from, who);
+               const Cut cut = links.asking(from, who);
                if (cut == Cut::none) {
                  handler(from, r, answer);
                } else if (cut == Cut::hold) {
--- a/lab/models/include/wrenusher/lab/checker.hpp
+++ b/lab/models/include/wrenusher/lab/checker.hpp
@@ -30,6 +30,8 @@
   void stopped_asking(const std::string& ref) { jobs_[ref].asks = false; }
   void answered_submit(Instant now, const std::string& ref, int status);
   void asked_withdraw(const std::string& ref) { asked_.insert(ref); }
+  /// Its user has asked to cancel it.
+  bool asked(const std::string& ref) const { return asked_.contains(ref); }
   void answered_withdraw(Instant now, const std::string& ref, int status, const std::string& state,
                          Instant asked);
   /// `asked`: when the question went out. An answer that was on its way while another one told of the end is
--- a/lab/models/include/wrenusher/lab/machines.hpp
+++ b/lab/models/include/wrenusher/lab/machines.hpp
@@ -53,6 +53,8 @@
   void reborn(const std::string& host);
   /// Whether some machine that runs has room for a task of the job, its team's ceiling left.
   bool has_room(const JobSpec& spec) const;
+  /// Jobs of which a task runs, on which machines, that would go on for so long or for ever.
+  std::map<std::string, std::set<std::string>> with_long_to_go(Micros least) const;
   void faulty(const std::string& host) { faulty_.insert(host); }
   void mistaken(const std::string& ref) { mistaken_.insert(ref); }
 
--- a/lab/models/include/wrenusher/lab/site.hpp
+++ b/lab/models/include/wrenusher/lab/site.hpp
@@ -65,6 +65,7 @@
   Micros every{};    ///< 0: once
   std::string whom;  ///< controller, zone, domain or machine; empty: drawn
   double share = 0;  ///< of the machines, where it strikes several
+  int count = 0;     ///< of the jobs, where it strikes some; 0: as its line of help says
 };
 /// The troubles that a site may name, each with a line of help.
 const std::vector<std::pair<std::string, std::string>>& trouble_names();
@@ -74,7 +75,7 @@
   Settings settings;  ///< of the cluster; addresses and names are the driver's
   std::vector<MachineType> types;
   int controllers = 3;  ///< in simulated days
-  int machines = 0;  ///< up at the start, ordinary ones of the first type, spread over its zones
+  int machines = 0;     ///< up at the start, ordinary ones of the first type, spread over its zones
   std::vector<JobClass> classes;
   std::vector<TroubleSpec> troubles;
   Micros length = from_seconds(600);
--- a/lab/models/include/wrenusher/lab/state_service.hpp
+++ b/lab/models/include/wrenusher/lab/state_service.hpp
@@ -33,6 +33,11 @@
   void refuse(const std::string& who, bool on);
   /// Every answer takes this much longer.
   void slow(Micros by) { slow_ = by; }
+  /// Changes so far can't be followed any more: who asks for older ones is told so.
+  void forget_past() {
+    past_before_ = revision_;
+    past_.clear();
+  }
 
   /// What it knows, for whoever looks from outside the world.
   const Entry* find(const std::string& key) const;
--- a/lab/models/include/wrenusher/lab/wires.hpp
+++ b/lab/models/include/wrenusher/lab/wires.hpp
@@ -33,6 +33,8 @@
   void cut(const std::string& a, const std::string& b, Cut how);
   /// What goes from one to the other, and not back.
   void cut_one_way(const std::string& from, const std::string& to, Cut how) { one_way_[{from, to}] = how; }
+  /// What one asks of the other; its answers to what the other asks still go back.
+  void cut_requests(const std::string& from, const std::string& to, Cut how) { requests_[{from, to}] = how; }
   /// A zone with all that is and comes up in it, from everything outside.
   void cut_zone(const std::string& zone, Cut how);
   /// Likewise all parties of which `inside` is true.
@@ -41,10 +43,13 @@
   /// Tells the zone of a party; empty for what belongs to none.
   std::function<std::string(const std::string&)> zone_of;
   Cut between(const std::string& from, const std::string& to) const;
+  /// What becomes of a request.
+  Cut asking(const std::string& from, const std::string& to) const;
 
  private:
   std::map<std::pair<std::string, std::string>, Cut> pairs_;
   std::map<std::pair<std::string, std::string>, Cut> one_way_;
+  std::map<std::pair<std::string, std::string>, Cut> requests_;
   std::vector<std::pair<std::function<bool(const std::string&)>, Cut>> groups_;
 };
 
--- a/lab/models/links.cpp
+++ b/lab/models/links.cpp
@@ -25,6 +25,7 @@
 void Links::heal() {
   pairs_.clear();
   one_way_.clear();
+  requests_.clear();
   groups_.clear();
 }
 
@@ -37,4 +38,10 @@
   return it == pairs_.end() ? Cut::none : it->second;
 }
 
+Cut Links::asking(const std::string& from, const std::string& to) const {
+  if (const Cut how = between(from, to); how != Cut::none) return how;
+  const auto it = requests_.find({from, to});
+  return it == requests_.end() ? Cut::none : it->second;
+}
+
 }  // namespace wrenusher::lab
--- /dev/null
+++ b/lab/models/machine_state.hpp
@@ -0,0 +1,61 @@
+#pragma once
+// What the model of the machines keeps of each task, machine and gang; for machines.cpp alone.
+
+#include "wrenusher/lab/machines.hpp"
+
+namespace wrenusher::lab {
+
+struct Machines::Task {
+  std::string ref;
+  std::uint32_t task = 0;
+  std::uint64_t attempt = 0;
+  std::string status;  // pulling, gathering, running, saving, ended
+  std::string cause;
+  bool kept = false;
+  Instant since{};     ///< of the present status
+  Micros progress{};   ///< of an array's task, saved work included
+  Micros begun_at{};   ///< progress with which this start began
+  Instant saved_by{};  ///< while saving
+  double luck = 1;     ///< its run time, as a multiple of the job's
+  bool told = false;   ///< to stop, in time to save
+  bool on() const { return status == "running" || status == "gathering" || status == "saving"; }
+  bool ended() const { return status == "ended"; }
+  void become(const char* to, Instant now) {
+    status = to;
+    since = now;
+  }
+};
+
+struct Machines::Machine {
+  std::string ref, addr, flavor, site;
+  const MachineType* type = nullptr;
+  bool standby = false;
+  bool up = false;
+  bool dead = false;
+  Instant rented{}, up_at{}, died{}, hung_until{}, lease_from{}, next_report{}, last_sent{};
+  std::optional<Instant> token_told;  ///< when a higher token last was a reason to report
+  std::optional<Instant> taken_at;
+  std::uint64_t tenure = 1, serial = 0, epoch = 0;
+  int life = 0;  ///< what was sent in an earlier one gets no answer
+  std::size_t node = 0;
+  bool reporting = false;
+  double speed = 1;
+  double pull = 1;  ///< of the type's rate
+  std::vector<Task> tasks;
+  std::map<std::string, double> pulls;                 ///< bundle -> GB left
+  std::vector<std::pair<std::string, double>> images;  ///< bundle, GB; the most recently used last
+  bool has(const std::string& bundle) const {
+    return std::any_of(images.begin(), images.end(), [&](const auto& i) { return i.first == bundle; });
+  }
+};
+
+/// The tasks of a gang under one attempt, from their start to their end.
+struct Machines::Gang {
+  bool running = false;
+  Micros progress{};
+  std::optional<Instant> broken;      ///< since when one of them is missing
+  std::optional<Instant> first_halt;  ///< with time to save
+  bool failed = false;                ///< the save
+};
+
+}  // namespace wrenusher::lab
--- a/lab/models/machines.cpp
+++ b/lab/models/machines.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cstdlib>
 
+#include "machine_state.hpp"
 #include "wrenusher/lab/answers.hpp"
 
 namespace wrenusher::lab {
@@ -21,59 +22,6 @@
 
 }  // namespace
 
-struct Machines::Task {
-  std::string ref;
-  std::uint32_t task = 0;
-  std::uint64_t attempt = 0;
-  std::string status;  // pulling, gathering, running, saving, ended
-  std::string cause;
-  bool kept = false;
-  Instant since{};     ///< of the present status
-  Micros progress{};   ///< of an array's task, saved work included
-  Micros begun_at{};   ///< progress with which this start began
-  Instant saved_by{};  ///< while saving
-  double luck = 1;     ///< its run time, as a multiple of the job's
-  bool told = false;   ///< to stop, in time to save
-  bool on() const { return status == "running" || status == "gathering" || status == "saving"; }
-  bool ended() const { return status == "ended"; }
-  void become(const char* to, Instant now) {
-    status = to;
-    since = now;
-  }
-};
-
-struct Machines::Machine {
-  std::string ref, addr, flavor, site;
-  const MachineType* type = nullptr;
-  bool standby = false;
-  bool up = false;
-  bool dead = false;
-  Instant rented{}, up_at{}, died{}, hung_until{}, lease_from{}, next_report{}, last_sent{};
-  std::optional<Instant> token_told;  ///< when a higher token last was a reason to report
-  std::optional<Instant> taken_at;
-  std::uint64_t tenure = 1, serial = 0, epoch = 0;
-  int life = 0;  ///< what was sent in an earlier one gets no answer
-  std::size_t node = 0;
-  bool reporting = false;
-  double speed = 1;
-  double pull = 1;  ///< of the type's rate
-  std::vector<Task> tasks;
-  std::map<std::string, double> pulls;                 ///< bundle -> GB left
-  std::vector<std::pair<std::string, double>> images;  ///< bundle, GB; the most recently used last
-  bool has(const std::string& bundle) const {
-    return std::any_of(images.begin(), images.end(), [&](const auto& i) { return i.first == bundle; });
-  }
-};
-
-/// The tasks of a gang under one attempt, from their start to their end.
-struct Machines::Gang {
-  bool running = false;
-  Micros progress{};
-  std::optional<Instant> broken;      ///< since when one of them is missing
-  std::optional<Instant> first_halt;  ///< with time to save
-  bool failed = false;                ///< the save
-};
-
 Machines::Machines(Wires& wires, const Site& site, Checker& checker, double speed)
     : wires_(wires), site_(site), settings_(site.settings), checker_(checker), speed_(speed) {}
 
@@ -242,8 +190,25 @@
   });
 }
 
+/// The moment at which it goes on is looked at before what was sent meanwhile is executed: a cancelled task
+/// that is still there has outlived the hang, however soon it is stopped after it.
 void Machines::hang(const std::string& host, Micros how_long) {
-  if (Machine* m = find(host)) m->hung_until = wires_.now() + how_long;
+  Machine* m = find(host);
+  if (m == nullptr) return;
+  m->hung_until = wires_.now() + how_long;
+  wires_.at(how_long, [this] { checker_.look(wires_.now()); });
+}
+
+std::map<std::string, std::set<std::string>> Machines::with_long_to_go(Micros least) const {
+  std::map<std::string, std::set<std::string>> out;
+  for (const auto& [host, m] : machines_) {
+    for (const Task& t : m->tasks) {
+      if (t.status != "running") continue;
+      if (jobs_.at(t.ref).spec.shape == Shape::daemon || total(t) - t.progress >= least)
+        out[t.ref].insert(host);
+    }
+  }
+  return out;
 }
 
 void Machines::take(const std::string& host, Micros notice) {
--- a/lab/models/site.cpp
+++ b/lab/models/site.cpp
@@ -140,6 +140,7 @@
   if (n.has("every")) t.every = n["every"].duration();
   if (n.has("whom")) t.whom = n["whom"].text();
   if (n.has("share")) t.share = n["share"].number(0, 1);
+  if (n.has("count")) t.count = n["count"].whole(1, 100000);
   n.no_more();
   return t;
 }
@@ -198,10 +199,15 @@
       {"controller_flickers",
        "a controller ends and is back within a fraction of a second, again and again for `lasts`"},
       {"machine_deaf", "reports of a `share` of the machines (0: one) arrive, answers and orders do not"},
+      {"machine_mute",
+       "a `share` of the machines (0: one) reach no controller, though orders and questions reach them"},
       {"machine_reborn", "a `share` of the machines (0: one) begin anew under their names, at once"},
       {"late_copies", "a `share` of all requests (0: 0.2) comes once more, up to 2.5 leases late"},
       {"late_writes",
        "a `share` of the transactions (0: 0.2) gets no answer and is carried out 2 to 12 s later, once"},
+      {"mass_cancel",
+       "users cancel `count` (8) jobs that run and have long to go, all within a fifth of a second; up to "
+       "eight of their machines hang for `lasts`"},
       {"question_storm", "users ask about their jobs eight times as often for `lasts`"},
       {"boots_late", "new machines take six times as long for `lasts`, three in ten never come up"},
       {"state_outage", "the state service answers 503 for `lasts`"},
--- a/lab/sim/include/wrenusher/lab/world.hpp
+++ b/lab/sim/include/wrenusher/lab/world.hpp
@@ -48,7 +48,7 @@
  private:
   Micros delay();
   /// Carries something over a link: now, when the link is whole again, or never.
-  void carry(const std::string& a, const std::string& b, std::function<void()> deliver);
+  void carry(Cut link, std::function<void()> deliver);
 
   Instant now_{};
   std::uint64_t events_made_ = 0;
@@ -113,6 +113,8 @@
   void leave_alone(int controller, Cut how);
   /// Its reports arrive, but neither answers nor orders reach it.
   void deafen(const std::string& host, Cut how);
+  /// It reaches no controller, and answers what controllers ask of it.
+  void mute(const std::string& host, Cut how);
   void copy_late(SimWires::Copies c) { wires_.copy_late(std::move(c)); }
   void write_late(double share) { wires_.write_late(share); }
   /// The machine begins anew under its name: nothing is on it, and it counts from the start.
@@ -126,9 +128,12 @@
   void state_outage(bool on) { state_.outage(on); }
   void state_refuses(int controller, bool on) { state_.refuse("c" + std::to_string(controller), on); }
   void state_slow(Micros by) { state_.slow(by); }
+  /// Whoever follows from before now has to read the records anew.
+  void state_forgets() { state_.forget_past(); }
   void cloud_outage(bool on) { cloud_.outage(on); }
   void die(const std::string& host) { machines_.die(host); }
   void hang(const std::string& host, Micros how_long) { machines_.hang(host, how_long); }
+  void cancel_many(int count, Micros hang_for);
   void take(const std::string& host, Micros notice) { machines_.take(host, notice); }
   /// A domain of the topology with all that is and comes up in it.
   void cut_domain(const std::string& domain, Cut how);
--- a/lab/sim/sim_wires.cpp
+++ b/lab/sim/sim_wires.cpp
@@ -38,8 +38,8 @@
   for (auto& f : held) at(delay(), std::move(f));
 }
 
-void SimWires::carry(const std::string& a, const std::string& b, std::function<void()> deliver) {
-  switch (links.between(a, b)) {
+void SimWires::carry(Cut link, std::function<void()> deliver) {
+  switch (link) {
     case Cut::none:
       at(delay(), std::move(deliver));
       break;
@@ -86,7 +86,7 @@
   auto call = std::make_shared<Call>();
   call->done = std::move(done);
   const std::string name = names_[to];
-  const Cut state = links.between(from, name);
+  const Cut state = links.asking(from, name);
   if (!handlers_.contains(to) || state == Cut::reset) {
     at(delay(), [call] { call->settle({false, false, {}}); });
     return;
@@ -103,7 +103,7 @@
   const bool sent = state == Cut::none || pick(2) == 0;
   at(timeout, [call, sent] { call->settle({false, sent, {}}); });
   if (!sent) return;
-  carry(from, name, [this, call, from, to, name, request = std::move(request)] {
+  carry(state, [this, call, from, to, name, request = std::move(request)] {
     const std::size_t most = request.most;
     const auto h = handlers_.find(to);
     if (h == handlers_.end()) {
@@ -118,7 +118,7 @@
       }
       const bool too_large = most > 0 && r.body.size() > most;
       if (too_large) r = {};
-      carry(name, from, [call, too_large, r = std::move(r)] {
+      carry(links.between(name, from), [call, too_large, r = std::move(r)] {
         call->settle({!too_large, true, r, too_large});
       });
     });
--- a/lab/sim/world.cpp
+++ b/lab/sim/world.cpp
@@ -9,6 +9,12 @@
 constexpr Micros kWatch = millis(100);
 constexpr Micros kAgreeEvery = from_seconds(1);
 constexpr Micros kRoomEvery = from_seconds(2);
+/// Jobs cancelled at once would have gone on for so long; within so many seconds all are, and of their
+/// machines so many hang at most.
+constexpr Micros kLongToGo = from_seconds(20);
+constexpr double kAllAtOnce = 0.2;
+constexpr std::size_t kMostHang = 8;
+constexpr int kManyJobs = 8;
 /// Copies of messages come up to so many leases late.
 constexpr double kCopyLeases = 2.5;
 const Endpoint kState = "10.2.0.1:2379";
@@ -299,6 +305,29 @@
   for (int i = 0; i < site_.controllers; ++i) cut_one_way(name_of(i), host, how);
 }
 
+void World::mute(const std::string& host, Cut how) {
+  for (int i = 0; i < site_.controllers; ++i) wires_.links.cut_requests(host, name_of(i), how);
+}
+
+/// Users cancel jobs that run and have long to go, all at once; some of their machines hang.
+void World::cancel_many(int count, Micros hang_for) {
+  const auto jobs = machines_.with_long_to_go(kLongToGo);
+  std::vector<std::string> refs;
+  for (const auto& [ref, hosts] : jobs) refs.push_back(ref);
+  std::erase_if(refs, [&](const std::string& ref) { return checker.asked(ref); });
+  std::shuffle(refs.begin(), refs.end(), wires_.random());
+  refs.resize(std::min(refs.size(), static_cast<std::size_t>(count)));
+  std::set<std::string> theirs;
+  for (const std::string& ref : refs) {
+    at(from_seconds(uniform(0, kAllAtOnce)), [this, ref] { withdraw(ref); });
+    theirs.insert(jobs.at(ref).begin(), jobs.at(ref).end());
+  }
+  std::vector<std::string> hang_too(theirs.begin(), theirs.end());
+  std::shuffle(hang_too.begin(), hang_too.end(), wires_.random());
+  hang_too.resize(hang_for.count() > 0 ? std::min(hang_too.size(), kMostHang) : 0);
+  for (const std::string& host : hang_too) hang(host, hang_for);
+}
+
 mail::Readiness World::ready(int controller) const {
   const auto& n = nodes_[static_cast<std::size_t>(controller)];
   return n ? n->controller.ready() : mail::Readiness::cold;
@@ -360,6 +389,12 @@
     for (const std::string& h : t.whom.empty() ? some(hosts()) : std::vector<std::string>{t.whom})
       deafen(h, pick(2) == 0 ? Cut::hold : Cut::reset);
     ends([this] { heal(); });
+  } else if (t.what == "machine_mute") {
+    for (const std::string& h : t.whom.empty() ? some(hosts()) : std::vector<std::string>{t.whom})
+      mute(h, pick(2) == 0 ? Cut::hold : Cut::reset);
+    ends([this] { heal(); });
+  } else if (t.what == "mass_cancel") {
+    cancel_many(t.count > 0 ? t.count : kManyJobs, t.lasts);
   } else if (t.what == "machine_reborn") {
     for (const std::string& h : t.whom.empty() ? some(hosts()) : std::vector<std::string>{t.whom}) reborn(h);
   } else if (t.what == "late_copies") {
--- a/tests/meetings_test.cpp
+++ b/tests/meetings_test.cpp
@@ -44,6 +44,7 @@
       {"state_outage", 1, 60, 0},        {"store_gap", 20, 60, 0},          {"state_refuses", 2, 40, 0},
       {"state_slow", 10, 60, 0},         {"cloud_outage", 10, 60, 0},       {"zone_cut", 5, 45, 0},
       {"question_storm", 20, 60, 0},     {"spot_wave", 3, 8, 0.5},          {"rolling_restart", 1, 8, 0},
+      {"machine_mute", 5, 60, 0.3},      {"mass_cancel", 1, 25, 0},
   };
   const Kind& k = kinds[static_cast<std::size_t>(w.pick(static_cast<int>(kinds.size())))];
   TroubleSpec t;
