Quotas: versions rise when records are read anew, old reports free nothing, done elsewhere counts

Four paths by which a claim could leave the count without proof, found by reading:

- A leader that misses changes reads its records anew within its term, and its versions began anew as well: what it claimed next in a block that it had written more often before was older than the record, so it was ordered, counted as committed, and never written; the next leader would not have counted it.
Versions now rise from what was there before and from what is found.
- After such a reading a claim of its own counted as one of an earlier term, and the answer to a direct command that did not show it freed it while the order to run it might be on its way.
Now a report settles it.
- A report of before the term, late, freed a claim by what it said had ended or did not show, though a gang's task may be back on its machine under the same attempt.
Now only a word under this term's token frees.
- A late 'done' of a machine given up freed the claim of the task's second start, whose task is on its machine for a moment once it has its image.
Now its end there frees it.

--- a/src/book/book.cpp
+++ b/src/book/book.cpp
@@ -18,8 +18,10 @@
   dirty_.clear();
   over_.clear();
   loaded_ = 0;
-  // Versions rise from term to term as well: of two copies of a block the newer one is known.
-  clock_ = epoch << 32U;
+  // Versions rise from term to term as well, and when the records are read anew within one, where a write of
+  // before may still be on its way: of two copies of a block the newer one is known.
+  term_from_ = epoch << 32U;
+  clock_ = std::max(clock_, term_from_);
   ++news_;
   population_ = {};
 }
@@ -159,11 +161,14 @@
         claim(job, t, m, c.attempt, Phase::loaded);
         Claim& made = job.claims.at(t);
         made.version = 0;
+        made.ordered = version > term_from_;
         if (job.rec.withdrawn) stop(made, Micros{0});
       }
     }
   }
   ++job.change;
+  // What is written next must be newer than what was found, or it would never be written.
+  clock_ = std::max(clock_, version);
   Block& block = job.blocks[n];
   unrank_block(job, n);
   block.version = block.claimed = block.committed = version;
--- a/src/book/include/wrenusher/book/book.hpp
+++ b/src/book/include/wrenusher/book/book.hpp
@@ -43,6 +43,7 @@
   Instant pulling_since{};
   Instant gathering_since{};
   Instant running_since{};
+  bool ordered = false;  ///< found, but written in this term: the order to run it may be on its way
   bool halt = false;
   Micros leeway{};
   std::uint64_t shown = 0;  ///< the last report that listed it
@@ -102,8 +103,8 @@
  public:
   Book(Runtime& rt, Machines& machines) : rt_(rt), machines_(machines) {}
 
-  /// A new term: an empty book, whose versions are above those of every earlier term. The machines are to be
-  /// cleared with it.
+  /// A new term, or the records are read anew within one: an empty book, whose versions are above those of
+  /// before. The machines are to be cleared with it.
   void begin(std::uint64_t epoch);
 
   /// Null when it is not known.
@@ -176,7 +177,8 @@
 
   Runtime& rt_;
   Machines& machines_;
-  std::uint64_t clock_ = 0;  ///< version of the newest change
+  std::uint64_t clock_ = 0;      ///< version of the newest change
+  std::uint64_t term_from_ = 0;  ///< versions above it are of this term
   std::uint64_t jobs_taken_ = 0;
   std::uint64_t news_ = 0;
   std::size_t loaded_ = 0;
--- a/src/reports/reports.cpp
+++ b/src/reports/reports.cpp
@@ -62,14 +62,18 @@
     if (u.status != UnitStatus::ended) continue;
     Job* job = book_.find(u.ref);
     if (job == nullptr || u.task >= job->spec().units) continue;
+    const bool holds = job->holds(u.task, m, u.attempt);
     if (u.cause == "done" && job->spec().shape != Shape::daemon) {
-      if (job->holds(u.task, m, u.attempt)) {
+      // It has been started once more elsewhere: there it ends as soon as it has its image, and that it has
+      // ended there is what frees the place.
+      if (!holds && job->claims.contains(u.task)) continue;
+      if (holds) {
         const Claim& c = job->claims.at(u.task);
         if (c.phase == Phase::running && c.running_since != Instant{})
           estimator_.ran(job->spec(), r.host, rt_.now() - c.running_since);
       }
       book_.finish(*job, u.task);
-    } else if (job->holds(u.task, m, u.attempt)) {
+    } else if (holds && m.current) {
       if (u.cause == "error") fail_task(*job, m, u, out);
       if (u.cause == "no_room" || u.cause == "in_use") {
         m.full_until = rt_.now() + kNoRoomPause;
@@ -82,8 +86,11 @@
   }
 }
 
-/// Claims that the report does not show.
+/// Claims that the report does not show. A report of before this term may be a copy that comes late, and a
+/// gang's task may have come back under the same attempt since: like what it says has ended, what it does not
+/// show proves nothing.
 void Reports::take_missing(Machine& m, bool settled, std::uint64_t mark) {
+  if (!m.current) return;
   std::vector<std::pair<Job*, std::uint32_t>> missing;
   for (const auto& [id, job] : book_.on(m)) {
     if (job->claims.at(id.second).shown != mark) missing.emplace_back(job, id.second);
@@ -95,11 +102,12 @@
     if (c.phase == Phase::fresh) {
       // Starts go out in responses to reports alone, so this report settles every earlier one; the answer to
       // /orders does not.
-      if (settled && m.current && (c.halt || !m.usable())) book_.release(*job, task, "not started", true);
+      if (settled && (c.halt || !m.usable())) book_.release(*job, task, "not started", true);
     } else if (c.phase == Phase::loaded) {
       // Claimed under an earlier term: only a worker that has taken this term's epoch cannot be told to start
-      // it any more. This leader never orders it either, so its answer to /orders settles it as well.
-      if (m.current) book_.release(*job, task, "never started, or lost before this term", true);
+      // it any more. This leader never orders it either, so its answer to /orders settles it as well, unless
+      // it was ordered before the records were read anew.
+      if (settled || !c.ordered) book_.release(*job, task, "never started, or lost before this term", true);
     } else {
       book_.release(*job, task, "gone from its machine", true);
     }
