Checker: services left waiting count too; room is the team's as well as the machines'

A test that it is the team's limit that keeps a job waiting, in cores and cards, and that the job runs once the quota is free.

--- a/lab/sim/world.cpp
+++ b/lab/sim/world.cpp
@@ -219,7 +219,8 @@
   if (checker.calm() && now().time_since_epoch() % kRoomEvery < kWatch) {
     for (const std::string& ref : checker.open()) {
       const JobSpec& spec = checker.spec(ref);
-      if (spec.shape == Shape::sweep)
+      // Whether a gang's tasks would all find room at once is not reckoned.
+      if (spec.shape != Shape::gang)
         checker.waits(now(), ref, !checker.on_a_machine(ref) && machines_.has_room(spec));
     }
   }
--- a/tests/limits_lab_test.cpp
+++ b/tests/limits_lab_test.cpp
@@ -158,6 +158,39 @@
   }
 }
 
+// A job that waits is left waiting only while its team may use more: what tells is counted as the rule
+// counts.
+TEST(LabCancels, RoomIsTheTeamsAsWellAsTheMachines) {
+  for (const bool cards : {false, true}) {
+    Site site = World::default_site(World::small_site());
+    site.types.resize(1);
+    site.types[0].flavor.room.cards = to_amount(4);
+    site.types[0].ordinary = 6;
+    site.machines = 6;
+    site.settings.teams = {{"red", 0, cards ? 0.0 : 16, 0, cards ? 4.0 : 0}, {"blue", 0, 0, 0, 0}};
+    site.settings.tunables.idle_return = from_seconds(900);
+    World w(11, site);
+    JobSpec full = World::job(0, 4, 4, 200);
+    full.needs.cards = to_amount(1);
+    JobSpec waits = World::job(2, 1, 4, 20);
+    waits.needs.cards = to_amount(1);
+    JobSpec others = World::job(1, 1, 4, 20);
+    w.submit(full);
+    w.run(from_seconds(30));
+    EXPECT_FALSE(w.machines().has_room(waits));
+    EXPECT_TRUE(w.machines().has_room(others));
+    w.submit(waits);
+    w.checker.troubles_over(w.now());
+    w.run(from_seconds(80));
+    EXPECT_FALSE(w.checker.on_a_machine(waits.ref));
+    expect_kept(w);
+    w.withdraw(full.ref);
+    w.run(from_seconds(10));
+    EXPECT_TRUE(w.checker.on_a_machine(waits.ref));
+    expect_kept(w);
+  }
+}
+
 TEST(LabCancels, SiteFilesNameThem) {
   std::string yaml = small_site_yaml();
   yaml +=
