--- a/tests/limits_test.cpp
+++ b/tests/limits_test.cpp
@@ -403,8 +403,9 @@
     for (int i = 0; i < 40; ++i) w.at(from_seconds(25 + i), [&w, s = job(300 + i, 2, 6)] { w.submit(s); });
     w.run(from_seconds(28));
     if (seed > 2) w.write_late(0.3);
+    // Only a follower that is a write behind at that moment has missed changes: one call in some fifteen.
+    for (int i = 0; i < 150; ++i) w.at(from_seconds(w.uniform(0, 25)), [&w] { w.state_forgets(); });
     for (int i = 0; i < 6; ++i) {
-      w.at(from_seconds(4 * i + w.uniform(0, 4)), [&w] { w.state_forgets(); });
       w.at(from_seconds(3 * i), [&w, ref = load.running[static_cast<std::size_t>(i)]] { w.withdraw(ref); });
     }
     w.run(from_seconds(26));
