--- a/tests/meetings_test.cpp
+++ b/tests/meetings_test.cpp
@@ -43,6 +43,7 @@
       {"state_slow", 10, 60, 0},         {"cloud_outage", 10, 60, 0},       {"zone_cut", 5, 45, 0},
       {"question_storm", 20, 60, 0},     {"spot_wave", 3, 8, 0.5},          {"rolling_restart", 1, 8, 0},
       {"close_looks", 20, 60, 0},        {"odd_requests", 10, 40, 0},       {"cancel_at_end", 20, 60, 0.3},
+      {"machine_mute", 5, 60, 0.3},      {"mass_cancel", 1, 25, 0},
   };
   const Kind& k = kinds[static_cast<std::size_t>(w.pick(static_cast<int>(kinds.size())))];
   TroubleSpec t;
