lab: lost_answers, a transaction carried out at once of which only the answer is lost

late_writes knows the write that comes later; the commoner kind, carried out at once and unanswered, was drawn for one message in 200 only and could not be aimed.

--- a/lab/models/include/wrenusher/lab/site.hpp
+++ b/lab/models/include/wrenusher/lab/site.hpp
@@ -63,8 +63,8 @@
   Micros at{};
   Micros lasts{};
   Micros every{};    ///< 0: once
-  std::string whom;  ///< controller, zone, domain or machine; empty: drawn
-  double share = 0;  ///< of the machines, where it strikes several
+  std::string whom;  ///< controller, zone, domain, machine or beginning of keys; empty: drawn
+  double share = 0;  ///< of the machines or messages, where it strikes several
 };
 /// The troubles that a site may name, each with a line of help.
 const std::vector<std::pair<std::string, std::string>>& trouble_names();
--- a/lab/models/site.cpp
+++ b/lab/models/site.cpp
@@ -202,6 +202,9 @@
       {"late_copies", "a `share` of all requests (0: 0.2) comes once more, up to 2.5 leases late"},
       {"late_writes",
        "a `share` of the transactions (0: 0.2) gets no answer and is carried out 2 to 12 s later, once"},
+      {"lost_answers",
+       "a `share` of the transactions (0: 0.2; whom: of those on keys that begin so) is carried out at once, "
+       "and the answer alone is lost"},
       {"question_storm", "users ask about their jobs eight times as often for `lasts`"},
       {"boots_late", "new machines take six times as long for `lasts`, three in ten never come up"},
       {"state_outage", "the state service answers 503 for `lasts`"},
--- a/lab/sim/include/wrenusher/lab/world.hpp
+++ b/lab/sim/include/wrenusher/lab/world.hpp
@@ -44,9 +44,33 @@
   /// This share of the transactions to the state service gets no answer, and is carried out once after a time
   /// between 2 and 12 s.
   void write_late(double share) { late_writes_ = share; }
+  /// Transactions that are carried out at once, and of which only the answer is lost: whoever asked waits for
+  /// it in vain. What was not carried out (429, 503, 400) is answered. Other requests to the state service
+  /// likewise, where `reads` says so.
+  struct LostAnswers {
+    double share = 1;               ///< of those that match
+    std::vector<std::string> keys;  ///< a key that is put, deleted or read begins so; empty: any
+    bool reads = false;             ///< of reads and comparisons, and not of what changes something
+    std::string who;                ///< that asked; empty: any
+    int skip = 0;                   ///< so many that match are answered before
+    int most = 1 << 30;             ///< and so many lost at the most
+    /// What happens in the same moment; told who asked.
+    std::function<void(const std::string& who)> then;
+  };
+  /// The number by which this is ended.
+  int lose_answers(LostAnswers l);
+  void answer_again(int number) { losing_.erase(number); }
+  int lost_answers() const { return lost_answers_; }
 
  private:
   Micros delay();
+  /// The keys that a request to the state service is about, and whether it only reads them.
+  struct Asked {
+    bool reads = false;
+    std::vector<std::string> keys;
+  };
+  static std::optional<Asked> asked_of(const Request& r);
+  bool loses_answer(const std::string& who, const Asked& asked);
   /// Carries something over a link: now, when the link is whole again, or never.
   void carry(const std::string& a, const std::string& b, std::function<void()> deliver);
 
@@ -65,6 +89,9 @@
   std::vector<std::function<void()>> held_;
   Copies copies_;
   double late_writes_ = 0;
+  std::map<int, LostAnswers> losing_;
+  int losing_made_ = 0;
+  int lost_answers_ = 0;
   int addresses_ = 0;
 };
 
@@ -115,6 +142,9 @@
   void deafen(const std::string& host, Cut how);
   void copy_late(SimWires::Copies c) { wires_.copy_late(std::move(c)); }
   void write_late(double share) { wires_.write_late(share); }
+  int lose_answers(SimWires::LostAnswers l) { return wires_.lose_answers(std::move(l)); }
+  void answer_again(int number) { wires_.answer_again(number); }
+  int lost_answers() const { return wires_.lost_answers(); }
   /// The machine begins anew under its name: nothing is on it, and it counts from the start.
   void reborn(const std::string& host) { machines_.reborn(host); }
   /// Users ask so many times as often.
--- a/lab/sim/sim_wires.cpp
+++ b/lab/sim/sim_wires.cpp
@@ -1,5 +1,6 @@
 #include <algorithm>
 
+#include "wrenusher/lab/answers.hpp"
 #include "wrenusher/lab/world.hpp"
 
 namespace wrenusher::lab {
@@ -63,6 +64,51 @@
   handlers_[at] = std::move(handler);
 }
 
+int SimWires::lose_answers(LostAnswers l) {
+  losing_.emplace(++losing_made_, std::move(l));
+  return losing_made_;
+}
+
+std::optional<SimWires::Asked> SimWires::asked_of(const Request& r) {
+  constexpr std::string_view kStore = "/store/";
+  if (r.target.starts_with(kStore)) return Asked{true, {r.target.substr(kStore.size())}};
+  if (r.target.starts_with("/store?")) return Asked{true, {query(r.target, "starts")}};
+  if (r.target != "/multi") return std::nullopt;
+  const auto body = decode(r.body);
+  if (!body) return std::nullopt;
+  Asked out;
+  const Value::List* apply = (*body)["apply"].list();
+  out.reads = apply == nullptr || apply->empty();
+  const Value::List* rows = out.reads ? (*body)["when"].list() : apply;
+  for (const Value& row : rows == nullptr ? Value::List{} : *rows) {
+    for (const char* field : {"put", "delete", "k"}) {
+      if (const std::string* key = row[field].text()) out.keys.push_back(*key);
+    }
+  }
+  return out;
+}
+
+bool SimWires::loses_answer(const std::string& who, const Asked& asked) {
+  for (auto& [number, l] : losing_) {
+    const bool fits =
+        l.reads == asked.reads && (l.who.empty() || l.who == who) &&
+        (l.keys.empty() || std::any_of(asked.keys.begin(), asked.keys.end(), [&](const auto& k) {
+           return std::any_of(l.keys.begin(), l.keys.end(),
+                              [&](const auto& begin) { return k.starts_with(begin); });
+         }));
+    if (!fits || l.most == 0 || (l.share < 1 && uniform(0, 1) >= l.share)) continue;
+    if (l.skip > 0) {
+      --l.skip;
+      continue;
+    }
+    --l.most;
+    ++lost_answers_;
+    if (const auto then = l.then) at(Micros{0}, [then, who] { then(who); });
+    return true;
+  }
+  return false;
+}
+
 void SimWires::send(const std::string& from, const Endpoint& to, Request request, Micros timeout, Done done) {
   if (copies_.share > 0 && uniform(0, 1) < copies_.share &&
       (copies_.paths.empty() || std::any_of(copies_.paths.begin(), copies_.paths.end(),
@@ -111,8 +157,11 @@
       return;
     }
     const bool lose = pick(kLostAnswer) == 0;
-    h->second(from, request, [this, call, from, name, lose, most](Response r) {
-      if (lose) {  // executed, but the answer never comes
+    const auto asked = losing_.empty() ? std::nullopt : asked_of(request);
+    h->second(from, request, [this, call, from, name, lose, most, asked](Response r) {
+      const bool carried_out = r.status == 200 || r.status == 404 || r.status == 409;
+      if (asked && carried_out && loses_answer(from, *asked)) return;  // its time runs out
+      if (lose) {                                                      // executed, but the answer never comes
         at(delay(), [call] { call->settle({false, true, {}}); });
         return;
       }
--- a/lab/sim/world.cpp
+++ b/lab/sim/world.cpp
@@ -371,6 +371,11 @@
   } else if (t.what == "late_writes") {
     write_late(t.share > 0 ? t.share : 0.2);
     ends([this] { write_late(0); });
+  } else if (t.what == "lost_answers") {
+    SimWires::LostAnswers l;
+    l.share = t.share > 0 ? t.share : 0.2;
+    if (!t.whom.empty()) l.keys = {t.whom};
+    ends([this, number = lose_answers(std::move(l))] { answer_again(number); });
   } else if (t.what == "question_storm") {
     storm(8);
     ends([this] { storm(1); });
--- a/tests/lab_test.cpp
+++ b/tests/lab_test.cpp
@@ -146,6 +146,117 @@
   live.unserve(*at);
 }
 
+namespace {
+
+/// A state service behind a simulated network, and what it answers.
+struct LossyState {
+  SimWires wires{4};
+  StateService state{wires, {0, 0, 16, 16}, std::make_unique<MemoryKeep>()};
+  LossyState() {
+    wires.serve_at(
+        "10.2.0.1:2379", "state",
+        [this](const std::string& from, const Request& r, const Answer& a) { state.serve(from, r, a); });
+  }
+  /// "200", or "none after 1.5 s".
+  std::string ask(const Request& r, const std::string& who = "c0") {
+    std::string out;
+    const Instant asked = wires.now();
+    wires.send(who, "10.2.0.1:2379", r, from_seconds(1.5), [&](const Outcome& o) {
+      out = o.answered ? std::to_string(o.response.status)
+                       : (o.sent ? "none after " : "unsent after ") +
+                             std::to_string(to_seconds(wires.now() - asked)).substr(0, 3) + " s";
+    });
+    for (int i = 0; i < 300 && out.empty(); ++i) wires.run(millis(10));
+    return out;
+  }
+  std::string put(const std::string& key, std::uint64_t stamp, const std::string& who = "c0") {
+    return ask({"POST", "/multi",
+                encode(Value::Map{{"when", Value::List{Value::Map{{"k", key}, {"stamp", stamp}}}},
+                                  {"apply", Value::List{Value::Map{{"put", key}, {"value", 1}}}}})},
+               who);
+  }
+  std::string compare(const std::string& key, std::uint64_t stamp) {
+    return ask({"POST", "/multi",
+                encode(Value::Map{{"when", Value::List{Value::Map{{"k", key}, {"stamp", stamp}}}}})});
+  }
+  std::string get(const std::string& key) { return ask({"GET", "/store/" + key, {}}); }
+};
+
+const char* const kNone = "none after 1.5 s";
+
+}  // namespace
+
+TEST(Lab, AnAnswerIsLostAloneAndWhatItAnswersWasCarriedOutAtOnce) {
+  LossyState s;
+  const int all = s.wires.lose_answers({});
+  EXPECT_EQ(s.put("job/a", 0), kNone);
+  ASSERT_NE(s.state.find("job/a"), nullptr);
+  EXPECT_EQ(s.state.find("job/a")->stamp, 1U);
+  // The answer to its repeat likewise; reads and comparisons are answered.
+  EXPECT_EQ(s.put("job/a", 0), kNone);
+  EXPECT_EQ(s.state.find("job/a")->stamp, 1U);
+  EXPECT_EQ(s.get("job/a"), "200");
+  EXPECT_EQ(s.compare("job/a", 1), "200");
+  // What was not carried out is answered.
+  s.state.outage(true);
+  EXPECT_EQ(s.put("job/b", 0), "503");
+  s.state.outage(false);
+  EXPECT_EQ(s.wires.lost_answers(), 2);
+  s.wires.answer_again(all);
+  EXPECT_EQ(s.put("job/b", 0), "200");
+}
+
+TEST(Lab, LostAnswersAreNarrowedToKeysToWhoAsksAndToTheNthThatMatches) {
+  LossyState s;
+  SimWires::LostAnswers second;
+  second.keys = {"end/", "job/"};
+  second.skip = 1;
+  second.most = 1;
+  std::string told;
+  second.then = [&](const std::string& who) { told = who; };
+  s.wires.lose_answers(second);
+  EXPECT_EQ(s.put("claims/0", 0), "200");
+  EXPECT_EQ(s.put("job/a", 0), "200");
+  EXPECT_EQ(s.put("end/a", 0, "c2"), kNone);
+  EXPECT_EQ(told, "c2");
+  EXPECT_EQ(s.put("job/b", 0), "200");
+  // Of reads: a key, a list, a comparison.
+  SimWires::LostAnswers reads;
+  reads.keys = {"job/"};
+  reads.reads = true;
+  reads.who = "c0";
+  reads.most = 3;
+  s.wires.lose_answers(reads);
+  EXPECT_EQ(s.put("job/c", 0), "200");
+  EXPECT_EQ(s.get("end/a"), "200");
+  EXPECT_EQ(s.ask({"GET", "/store/job/a", {}}, "c1"), "200");
+  EXPECT_EQ(s.get("job/a"), kNone);
+  EXPECT_EQ(s.ask({"GET", "/store?starts=job/&limit=5", {}}), kNone);
+  EXPECT_EQ(s.compare("job/a", 9), kNone);
+  EXPECT_EQ(s.get("job/a"), "200");
+  EXPECT_EQ(s.wires.lost_answers(), 4);
+}
+
+TEST(Lab, ASiteFileCanLoseAnswersForAWhile) {
+  const std::string with =
+      std::string(small_site_yaml()) +
+      "troubles:\n  - {what: lost_answers, at: 30s, lasts: 20s, share: 0.5, whom: claims/}\n";
+  const Site site = parse_site(with, "site.yaml");
+  ASSERT_EQ(site.troubles.size(), 1U);
+  World w(5, site);
+  for (int i = 0; i < 30; ++i) w.at(from_seconds(3 * i), [&w, i] { w.submit(World::job(i, 2, 2, 10)); });
+  w.run(from_seconds(30));
+  w.strike(site.troubles[0]);
+  w.run(from_seconds(20));
+  const int lost = w.lost_answers();
+  EXPECT_GT(lost, 3);
+  w.run(from_seconds(60));
+  EXPECT_EQ(w.lost_answers(), lost);
+  w.run(from_seconds(60));
+  EXPECT_TRUE(w.checker.broken().empty());
+  EXPECT_EQ(w.live(), 0U);
+}
+
 TEST(Lab, SiteFilesSayWhichLineAndFieldIsWrong) {
   EXPECT_EQ(error_of("name: small", "name: small"), "");
   EXPECT_TRUE(error_of("boot: 4s", "boot: 4").starts_with("site.yaml:8: types.small.boot: must be a time"));
--- a/tests/meetings_test.cpp
+++ b/tests/meetings_test.cpp
@@ -37,13 +37,28 @@
   };
   // Longer than cancel_s where that is what hurts.
   static const std::vector<Kind> kinds = {
-      {"controller_crash", 0.05, 20, 0}, {"controller_flickers", 3, 12, 0}, {"controller_alone", 5, 50, 0},
-      {"controller_cut", 5, 50, 0},      {"controller_stalls", 1, 15, 0},   {"all_crash", 0.3, 6, 0},
-      {"machine_deaf", 5, 60, 0.3},      {"machine_hangs", 2, 25, 0.3},     {"machine_reborn", 1, 1, 0.2},
-      {"machine_dies", 1, 1, 0.2},       {"late_copies", 10, 60, 0.3},      {"late_writes", 5, 40, 0.3},
-      {"state_outage", 1, 60, 0},        {"store_gap", 20, 60, 0},          {"state_refuses", 2, 40, 0},
-      {"state_slow", 10, 60, 0},         {"cloud_outage", 10, 60, 0},       {"zone_cut", 5, 45, 0},
-      {"question_storm", 20, 60, 0},     {"spot_wave", 3, 8, 0.5},          {"rolling_restart", 1, 8, 0},
+      {"controller_crash", 0.05, 20, 0},
+      {"controller_flickers", 3, 12, 0},
+      {"controller_alone", 5, 50, 0},
+      {"controller_cut", 5, 50, 0},
+      {"controller_stalls", 1, 15, 0},
+      {"all_crash", 0.3, 6, 0},
+      {"machine_deaf", 5, 60, 0.3},
+      {"machine_hangs", 2, 25, 0.3},
+      {"machine_reborn", 1, 1, 0.2},
+      {"machine_dies", 1, 1, 0.2},
+      {"late_copies", 10, 60, 0.3},
+      {"late_writes", 5, 40, 0.3},
+      {"lost_answers", 5, 40, 0.3},
+      {"state_outage", 1, 60, 0},
+      {"store_gap", 20, 60, 0},
+      {"state_refuses", 2, 40, 0},
+      {"state_slow", 10, 60, 0},
+      {"cloud_outage", 10, 60, 0},
+      {"zone_cut", 5, 45, 0},
+      {"question_storm", 20, 60, 0},
+      {"spot_wave", 3, 8, 0.5},
+      {"rolling_restart", 1, 8, 0},
   };
   const Kind& k = kinds[static_cast<std::size_t>(w.pick(static_cast<int>(kinds.size())))];
   TroubleSpec t;
