book: versions do not go back where a term reads its records once more

Found by reading, while looking for what a leader believes of its own writes: a follow that is too old or too large begins the term's book anew, and its versions with it, while copies with higher ones stand in the state service. A change of then counted as written though it was not, so that a task was ordered without a claim in the records, and of two copies the next leader would have believed the older. The clock now never goes back.

--- a/src/book/book.cpp
+++ b/src/book/book.cpp
@@ -18,8 +18,10 @@
   dirty_.clear();
   over_.clear();
   loaded_ = 0;
-  // Versions rise from term to term as well: of two copies of a block the newer one is known.
-  clock_ = epoch << 32U;
+  // Versions rise from term to term as well: of two copies of a block the newer one is known. Nor do they go
+  // back where a term reads its records once more: a change of then would bear a lower version than the copy
+  // that stands, so that it would count as written and its task be ordered without a claim in the store.
+  clock_ = std::max(clock_, epoch << 32U);
   ++news_;
   population_ = {};
 }
