provisioner: each term writes the machine types once

What a node had written stood for written in its later terms too, though another leader may have put another list in between. Found as the node that led before never repeated the write.

--- a/src/provisioner/provisioner.cpp
+++ b/src/provisioner/provisioner.cpp
@@ -77,6 +77,7 @@
   money_.begin(rt_.now());
   listing_ = returning_ = false;
   bookings_made_ = 0;
+  catalog_written_.clear();  // another leader may have written one since
   next_list_ = next_catalog_ = rt_.now();
   // Machines that run report first. What an earlier leader rented shows only after the list's lag; before
   // that it would be rented twice, which is cheap with spot machines alone.
