--- a/lab/sim/sim_wires.cpp
+++ b/lab/sim/sim_wires.cpp
@@ -1,5 +1,6 @@
 #include <algorithm>
 
+#include "wrenusher/lab/answers.hpp"
 #include "wrenusher/lab/world.hpp"
 
 namespace wrenusher::lab {
@@ -38,8 +39,8 @@
   for (auto& f : held) at(delay(), std::move(f));
 }
 
-void SimWires::carry(const std::string& a, const std::string& b, std::function<void()> deliver) {
-  switch (links.between(a, b)) {
+void SimWires::carry(Cut link, std::function<void()> deliver) {
+  switch (link) {
     case Cut::none:
       at(delay(), std::move(deliver));
       break;
@@ -63,6 +64,51 @@
   handlers_[at] = std::move(handler);
 }
 
+int SimWires::lose_answers(LostAnswers l) {
+  losing_.emplace(++losing_made_, std::move(l));
+  return losing_made_;
+}
+
+std::optional<SimWires::Asked> SimWires::asked_of(const Request& r) {
+  constexpr std::string_view kStore = "/store/";
+  if (r.target.starts_with(kStore)) return Asked{true, {r.target.substr(kStore.size())}};
+  if (r.target.starts_with("/store?")) return Asked{true, {query(r.target, "starts")}};
+  if (r.target != "/multi") return std::nullopt;
+  const auto body = decode(r.body);
+  if (!body) return std::nullopt;
+  Asked out;
+  const Value::List* apply = (*body)["apply"].list();
+  out.reads = apply == nullptr || apply->empty();
+  const Value::List* rows = out.reads ? (*body)["when"].list() : apply;
+  for (const Value& row : rows == nullptr ? Value::List{} : *rows) {
+    for (const char* field : {"put", "delete", "k"}) {
+      if (const std::string* key = row[field].text()) out.keys.push_back(*key);
+    }
+  }
+  return out;
+}
+
+bool SimWires::loses_answer(const std::string& who, const Asked& asked) {
+  for (auto& [number, l] : losing_) {
+    const bool fits =
+        l.reads == asked.reads && (l.who.empty() || l.who == who) &&
+        (l.keys.empty() || std::any_of(asked.keys.begin(), asked.keys.end(), [&](const auto& k) {
+           return std::any_of(l.keys.begin(), l.keys.end(),
+                              [&](const auto& begin) { return k.starts_with(begin); });
+         }));
+    if (!fits || l.most == 0 || (l.share < 1 && uniform(0, 1) >= l.share)) continue;
+    if (l.skip > 0) {
+      --l.skip;
+      continue;
+    }
+    --l.most;
+    ++lost_answers_;
+    if (const auto then = l.then) at(Micros{0}, [then, who] { then(who); });
+    return true;
+  }
+  return false;
+}
+
 void SimWires::send(const std::string& from, const Endpoint& to, Request request, Micros timeout, Done done) {
   if (copies_.share > 0 && uniform(0, 1) < copies_.share &&
       (copies_.paths.empty() || std::any_of(copies_.paths.begin(), copies_.paths.end(),
@@ -86,7 +132,7 @@
   auto call = std::make_shared<Call>();
   call->done = std::move(done);
   const std::string name = names_[to];
-  const Cut state = links.between(from, name);
+  const Cut state = links.asking(from, name);
   if (!handlers_.contains(to) || state == Cut::reset) {
     at(delay(), [call] { call->settle({false, false, {}}); });
     return;
@@ -103,7 +149,7 @@
   const bool sent = state == Cut::none || pick(2) == 0;
   at(timeout, [call, sent] { call->settle({false, sent, {}}); });
   if (!sent) return;
-  carry(from, name, [this, call, from, to, name, request = std::move(request)] {
+  carry(state, [this, call, from, to, name, request = std::move(request)] {
     const std::size_t most = request.most;
     const auto h = handlers_.find(to);
     if (h == handlers_.end()) {
@@ -111,14 +157,17 @@
       return;
     }
     const bool lose = pick(kLostAnswer) == 0;
-    h->second(from, request, [this, call, from, name, lose, most](Response r) {
-      if (lose) {  // executed, but the answer never comes
+    const auto asked = losing_.empty() ? std::nullopt : asked_of(request);
+    h->second(from, request, [this, call, from, name, lose, most, asked](Response r) {
+      const bool carried_out = r.status == 200 || r.status == 404 || r.status == 409;
+      if (asked && carried_out && loses_answer(from, *asked)) return;  // its time runs out
+      if (lose) {                                                      // executed, but the answer never comes
         at(delay(), [call] { call->settle({false, true, {}}); });
         return;
       }
       const bool too_large = most > 0 && r.body.size() > most;
       if (too_large) r = {};
-      carry(name, from, [call, too_large, r = std::move(r)] {
+      carry(links.between(name, from), [call, too_large, r = std::move(r)] {
         call->settle({!too_large, true, r, too_large});
       });
     });
