--- a/tests/answers_test.cpp
+++ b/tests/answers_test.cpp
@@ -213,13 +213,17 @@
 TEST(AnswerOrder, WhatIsForgottenIsAnnouncedAnew) {
   const Instant t = Instant{} + from_seconds(100);
   AnswerOrder order(false);
-  for (int i = 0; i < 20000; ++i) {
-    order.seen("j" + std::to_string(i), Level::over, t + millis(i));
-    const std::string old = "j" + std::to_string(std::max(0, i - 1400));
-    ASSERT_FALSE(order.stands(old, Level::accepted, t + millis(std::max(0, i - 1400) - 1), t + millis(i)));
+  const auto at = [&](int i) { return t + wrenusher::base::Micros{50 * static_cast<std::int64_t>(i)}; };
+  constexpr int kAll = 20000;  // in one second
+  for (int i = 0; i < kAll; ++i) {
+    order.seen("j" + std::to_string(i), Level::over, at(i));
+    const int old = std::max(0, i - 15000);
+    ASSERT_FALSE(order.stands("j" + std::to_string(old), Level::accepted, at(old - 1), at(i)));
   }
-  EXPECT_LT(order.kept(), 12000U);
-  const Instant later = t + millis(20000);
+  EXPECT_EQ(order.kept(), static_cast<std::size_t>(kAll));
+  const Instant later = t + from_seconds(20);
+  order.seen("one more", Level::over, later);
+  EXPECT_LT(order.kept(), 9000U);
   EXPECT_GT(order.may_tell("j0", Level::over, later), later);
 }
 
