lab: scale and slopes, real controllers beside hollow workers, measured by role

Change: package lab/scale; `wrenlab slopes` measures what one more worker, start, claim, live job, question and submission costs each role, from three sizes or more each, and fits lines; `wrenlab scale` runs a cell for each zone in a process of its own beside its real controllers, with a phase of failures, and puts each figure beside what the slopes predict. The checker keeps sums by team and looks at a job's own tasks; the machines keep their tasks' jobs. Same rules, same verdicts.

--- a/apps/wrenlab/main.cpp
+++ b/apps/wrenlab/main.cpp
@@ -9,7 +9,9 @@
 #include <iostream>
 #include <nlohmann/json.hpp>
 
+#include "scale_commands.hpp"
 #include "wrenusher/lab/answers.hpp"
+#include "wrenusher/lab/cell_processes.hpp"
 #include "wrenusher/lab/day.hpp"
 #include "wrenusher/lab/live_lab.hpp"
 #include "wrenusher/lab/verdict.hpp"
@@ -313,6 +315,10 @@
 
 int main(int argc, char** argv) {
   if (argc > 2 && std::string(argv[1]) == lab::kChildFlag) return lab::run_child(argv + 2);
+  if (argc == 4 && std::string(argv[1]) == lab::kCellFlag) {
+    spdlog::set_level(spdlog::level::off);
+    return lab::run_cell(argv[2], argv[3]);
+  }
   CLI::App app{
       "wrenlab: a lab for wrenusher. Starts everything that the service talks to on this machine, or plays "
       "days in simulated time."};
@@ -366,6 +372,8 @@
   c_compare->add_option("A", file_a, "before")->required();
   c_compare->add_option("B", file_b, "after")->required();
 
+  const lab::ScaleCommands scale_commands(app, options.wrenusher, kPort);
+
   auto* c_status =
       app.add_subcommand("status", "what a running lab is doing; exit code 1 once a rule is broken");
   const std::vector<std::pair<const char*, const char*>> acts = {
@@ -406,6 +414,7 @@
     }
     if (*c_demo) return demo(options);
     if (*c_day) return day(file, seeds, first, json, standby);
+    if (const auto code = scale_commands.run()) return *code;
     if (*c_compare) return compare(file_a, file_b);
     if (*c_status) return status(options.port);
     for (auto* c : c_acts) {
--- a/lab/live/include/wrenusher/lab/live_lab.hpp
+++ b/lab/live/include/wrenusher/lab/live_lab.hpp
@@ -19,6 +19,7 @@
   int controllers = 3;
   int port = 7400;
   double speed = 1;
+  std::string tunables;  ///< lines of the operators' own settings (YAML); empty: none but the topology
 };
 
 /// What was asked of a lab cannot be done; what() is one line.
@@ -31,8 +32,8 @@
 /// Becomes the program that `args` names, to end when its parent does. Returns only on failure.
 int run_child(char** args);
 
-/// A folder that outlives the program when it was asked for by name, and goes with its owner when it was not, also
-/// where the owner fails half made.
+/// A folder that outlives the program when it was asked for by name, and goes with its owner when it was not,
+/// also where the owner fails half made.
 class Folder {
  public:
   /// Throws LabError.
@@ -78,8 +79,17 @@
   void withdraw(const std::string& ref) { users_.withdraw(ref); }
 
   const Users& users() const { return users_; }
+  Users& users() { return users_; }
+  Balancer& balancer() { return balancer_; }
   Checker& checker() { return checker_; }
   const Machines& machines() const { return machines_; }
+  Machines& machines() { return machines_; }
+  const StateService& state() const { return state_; }
+  const std::map<std::string, Traffic>& traffic() const { return wires_.traffic(); }
+  /// The process of a controller; nothing while none runs.
+  std::optional<int> pid(int controller) const;
+  /// Replaces the topology that all controllers read.
+  void write_topology(const std::string& text);
   Value status() const;
 
   /// Ends the children and removes what is not to be kept; `done` when nothing is left.
@@ -88,6 +98,7 @@
  private:
   struct Child;
   std::string settings_json(int i) const;
+  std::string topology_path() const;
   void open_ports();
   void start_child(int i);
   void child_ended(Child& c);
--- a/lab/live/include/wrenusher/lab/live_wires.hpp
+++ b/lab/live/include/wrenusher/lab/live_wires.hpp
@@ -8,8 +8,18 @@
 
 namespace wrenusher::lab {
 
+/// What went over the links of one kind, bodies alone: HTTP's heads are not counted.
+struct Traffic {
+  std::uint64_t requests = 0;
+  std::uint64_t request_bytes = 0;
+  std::uint64_t response_bytes = 0;
+};
+
 class LiveWires : public Wires {
  public:
+  /// By "who asks>whom path", parties by their role: "worker>controller /hello", "c0>state /multi".
+  const std::map<std::string, Traffic>& traffic() const { return traffic_; }
+
   /// Parties that ask for an address get ports from `first_port` on.
   LiveWires(net::UvRuntime& rt, int first_port) : rt_(rt), next_port_(first_port) {}
 
@@ -29,8 +39,11 @@
   Links links;
 
  private:
+  Traffic& traffic_of(const std::string& from, const std::string& to, const std::string& target);
+
   net::UvRuntime& rt_;
   int next_port_;
+  std::map<std::string, Traffic> traffic_;
   std::map<Endpoint, std::string> names_;
   std::vector<std::function<void()>> held_;
 };
--- a/lab/live/live_lab.cpp
+++ b/lab/live/live_lab.cpp
@@ -251,10 +251,10 @@
   // Operators' files, which may be changed while the lab runs.
   std::string tunables_flag = "--tunables";
   std::string tunables = folder_.path() + "/tunables.yaml";
-  if (!options_.site.topology_text.empty()) {
-    const std::string topology = folder_.path() + "/topology.yaml";
-    if (!fields::read_file(topology)) std::ofstream(topology) << options_.site.topology_text;
-    std::ofstream(tunables) << "topology: topology.yaml\n";
+  const bool with_topology = !options_.site.topology_text.empty();
+  if (with_topology && !fields::read_file(topology_path())) write_topology(options_.site.topology_text);
+  if (with_topology || !options_.tunables.empty()) {
+    std::ofstream(tunables) << options_.tunables << (with_topology ? "topology: topology.yaml\n" : "");
     args.insert(args.end(), {tunables_flag.data(), tunables.data()});
   }
   args.push_back(nullptr);
@@ -284,6 +284,26 @@
   c.running = true;
 }
 
+std::optional<int> LiveLab::pid(int controller) const {
+  const Child& c = *children_[static_cast<std::size_t>(controller)];
+  if (!c.running) return std::nullopt;
+  return c.process.pid;
+}
+
+std::string LiveLab::topology_path() const {
+  return folder_.path() + "/topology.yaml";
+}
+
+void LiveLab::write_topology(const std::string& text) {
+  // Whole or not at all: the controllers look at it while it is written.
+  const std::string next = topology_path() + ".next";
+  std::ofstream out(next);
+  out << text;
+  if (!out.flush()) throw LabError(next + ": cannot be written");
+  out.close();
+  std::filesystem::rename(next, topology_path());
+}
+
 void LiveLab::child_ended(Child& c) {
   ++ends_;
   if (!stopping_) {
@@ -372,8 +392,8 @@
     if (body && (*body)["ref"].text() != nullptr)
       checker_.answered_submit(rt_.now(), *(*body)["ref"].text(), o.response.status);
   } else if (r.target.ends_with("/withdraw")) {
-    checker_.answered_withdraw(rt_.now(), r.target.substr(13, r.target.size() - 22), o.response.status,
-                               state, asked);
+    checker_.answered_withdraw(rt_.now(), r.target.substr(13, r.target.size() - 22), o.response.status, state,
+                               asked);
   } else if (r.target.size() > 13) {
     checker_.answered_poll(rt_.now(), r.target.substr(13), o.response.status, state, asked);
   }
--- a/lab/models/checker.cpp
+++ b/lab/models/checker.cpp
@@ -124,29 +124,38 @@
     breaks("wrong_place", unit_name(ref, task) + " on " + host);
   places.push_back({host, site, topology_ ? topology_->find(host, "", flavor, site) : topology::Place{}});
   if (topology_) check_layout(spec->second, places.back());
-  std::map<std::string, std::uint32_t> zones;
-  double cores = 0;
-  double cards = 0;
-  for (const auto& [unit, where] : on_) {
-    if (where.empty()) continue;
-    if (unit.first == ref) ++zones[where.front().site];
-    const JobSpec& other = specs_.at(unit.first);
-    if (other.owner != spec->second.owner) continue;
-    cores += from_amount(other.needs.cores) * static_cast<double>(where.size());
-    cards += from_amount(other.needs.cards) * static_cast<double>(where.size());
-  }
-  if (spec->second.same_place && zones.size() > 1) breaks("wrong_place", ref + " is in two zones");
-  if (spec->second.scatter && zones[site] > (spec->second.units + 1) / 2)
-    breaks("wrong_place", ref + " is not scattered");
+  Needs& used = used_[spec->second.owner];
+  used += spec->second.needs;
+  check_zones(spec->second, site);
   const Team* team = settings_.team(spec->second.owner);
-  if (team != nullptr && team->cores_max > 0 && cores > team->cores_max + 1e-6) breaks("quota", team->name);
-  if (team != nullptr && team->cards_max > 0 && cards > team->cards_max + 1e-6) breaks("quota", team->name);
+  if (team != nullptr && team->cores_max > 0 && used.cores > to_amount(team->cores_max))
+    breaks("quota", team->name);
+  if (team != nullptr && team->cards_max > 0 && used.cards > to_amount(team->cards_max))
+    breaks("quota", team->name);
   const auto cancelled = cancelled_at_.find(ref);
   if (cancelled != cancelled_at_.end() && now - cancelled->second > settings_.cancel) {
     breaks("ran_cancelled", unit_name(ref, task) + " started");
   }
 }
 
+void Checker::check_zones(const JobSpec& spec, const std::string& site) {
+  if (!spec.same_place && !spec.scatter) return;
+  std::map<std::string, std::uint32_t> zones;
+  for_tasks_of(spec.ref, [&](std::uint32_t, const std::vector<On>& where) {
+    if (!where.empty()) ++zones[where.front().site];
+  });
+  if (spec.same_place && zones.size() > 1) breaks("wrong_place", spec.ref + " is in two zones");
+  if (spec.scatter && zones[site] > (spec.units + 1) / 2)
+    breaks("wrong_place", spec.ref + " is not scattered");
+}
+
+/// Calls `f` for each task of the job that was ever on a machine, with where it is now.
+void Checker::for_tasks_of(const std::string& ref,
+                           const std::function<void(std::uint32_t, const std::vector<On>&)>& f) const {
+  for (auto it = on_.lower_bound({ref, 0}); it != on_.end() && it->first.first == ref; ++it)
+    f(it->first.second, it->second);
+}
+
 /// What a layout insists on holds at every moment, old attempts included; a device serves one task at a time.
 void Checker::check_layout(const JobSpec& spec, const On& here) {
   std::map<topology::DomainId, std::uint32_t> leaves;
@@ -154,17 +163,20 @@
   std::set<topology::DomainId> together;
   std::map<std::string, std::uint32_t> devices;
   const auto level = [&](const auto& part) { return topology_->level(part.level); };
-  for (const auto& [unit, where] : on_) {
+  for_tasks_of(spec.ref, [&](std::uint32_t, const std::vector<On>& where) {
     for (const On& o : where) {
-      const bool mine = unit.first == spec.ref;
-      if (o.host == here.host) {
-        for (const auto& [name, n] : specs_.at(unit.first).devices()) devices[name] += n;
-      }
-      if (!mine) continue;
       ++leaves[o.place.leaf];
       if (spec.layout && spec.layout->spread) ++spread[o.place.at(level(*spec.layout->spread))];
       if (spec.layout && spec.layout->together) together.insert(o.place.at(level(*spec.layout->together)));
     }
+  });
+  if (!spec.devices().empty()) {
+    for (const auto& [unit, where] : on_) {
+      for (const On& o : where) {
+        if (o.host != here.host) continue;
+        for (const auto& [name, n] : specs_.at(unit.first).devices()) devices[name] += n;
+      }
+    }
   }
   for (const auto& [id, n] : leaves) {
     double& most = most_in_one_[spec.ref];
@@ -201,15 +213,17 @@
 }
 
 void Checker::left(const std::string& ref, std::uint32_t task, const std::string& host) {
-  std::erase_if(on_[{ref, task}], [&](const On& o) { return o.host == host; });
+  const auto gone = std::erase_if(on_[{ref, task}], [&](const On& o) { return o.host == host; });
+  for (std::size_t i = 0; i < gone; ++i) used_[specs_.at(ref).owner] -= specs_.at(ref).needs;
 }
 
 void Checker::look(Instant now) {
-  for (const auto& [unit, where] : on_) {
-    const auto cancelled = cancelled_at_.find(unit.first);
-    if (!where.empty() && cancelled != cancelled_at_.end() && now - cancelled->second > settings_.cancel) {
-      breaks("ran_cancelled", unit_name(unit.first, unit.second) + " is still on " + where.front().host);
-    }
+  for (const auto& [ref, cancelled] : cancelled_at_) {
+    if (now - cancelled <= settings_.cancel) continue;
+    for_tasks_of(ref, [&, &ref = ref](std::uint32_t task, const std::vector<On>& where) {
+      if (!where.empty())
+        breaks("ran_cancelled", unit_name(ref, task) + " is still on " + where.front().host);
+    });
   }
   if (!troubles_over_) return;
   for (auto& [ref, j] : jobs_) {
--- a/lab/models/include/wrenusher/lab/checker.hpp
+++ b/lab/models/include/wrenusher/lab/checker.hpp
@@ -1,6 +1,7 @@
 #pragma once
 // Watches a simulated day and names every rule of the protocol that is broken.
 
+#include <functional>
 #include <map>
 #include <optional>
 #include <set>
@@ -125,6 +126,9 @@
   void answered(Instant now, const std::string& ref);
   bool counts(const std::string& ref) const;
   void check_layout(const JobSpec& spec, const On& here);
+  void check_zones(const JobSpec& spec, const std::string& site);
+  void for_tasks_of(const std::string& ref,
+                    const std::function<void(std::uint32_t, const std::vector<On>&)>& f) const;
   void breaks(const std::string& rule, const std::string& note);
   void final_state(Instant now, const std::string& ref, const std::string& state);
 
@@ -148,6 +152,7 @@
   std::map<std::string, Instant> cancelled_at_;
   std::map<std::string, std::set<std::uint32_t>> completed_;
   std::map<std::pair<std::string, std::uint32_t>, std::vector<On>> on_;
+  std::map<std::string, Needs> used_;  ///< by team, of all that is on machines
   std::set<std::string> broken_;
   std::vector<std::string> notes_;
   std::size_t starts_ = 0;
--- a/lab/models/include/wrenusher/lab/users.hpp
+++ b/lab/models/include/wrenusher/lab/users.hpp
@@ -17,6 +17,8 @@
   /// To one node, whatever it is like.
   void send_to(std::size_t node, const Request& r, Micros timeout, Done done);
   std::size_t nodes() const { return nodes_.size(); }
+  /// Tells of each request that went through the balancer what came of it, and after how long.
+  std::function<void(const Request&, const base::Outcome&, Micros took)> on_outcome;
 
  private:
   struct Node {
--- a/lab/models/machine_state.hpp
+++ b/lab/models/machine_state.hpp
@@ -7,6 +7,7 @@
 
 struct Machines::Task {
   std::string ref;
+  const JobTruth* job = nullptr;  ///< null for a start that was refused since no such job is known
   std::uint32_t task = 0;
   std::uint64_t attempt = 0;
   std::string status;  // pulling, gathering, running, saving, ended
--- a/lab/models/machines.cpp
+++ b/lab/models/machines.cpp
@@ -136,7 +136,7 @@
       const auto it = saved_.find({t.ref, t.task});
       const Micros kept = it == saved_.end() ? Micros{0} : it->second;
       work_.lost += to_seconds(std::max(t.progress - std::max(kept, t.begun_at), Micros{0})) *
-                    from_amount(jobs_.at(t.ref).spec.needs.cores);
+                    from_amount(t.job->spec.needs.cores);
     }
   }
   m.tasks.clear();
@@ -169,8 +169,7 @@
   Needs team;
   for (const auto& [ref, m] : machines_) {
     for (const Task& t : m->tasks) {
-      const JobSpec& other = jobs_.at(t.ref).spec;
-      if (other.owner == spec.owner && !t.ended()) team += other.needs;
+      if (!t.ended() && t.job->spec.owner == spec.owner) team += t.job->spec.needs;
     }
   }
   const settings::Team* its = settings_.team(spec.owner);
@@ -184,7 +183,7 @@
       return false;
     Needs room = m.type->flavor.room;
     for (const Task& t : m.tasks) {
-      if (!t.ended()) room -= jobs_.at(t.ref).spec.needs;
+      if (!t.ended()) room -= t.job->spec.needs;
     }
     return spec.needs.fits(room);
   });
@@ -204,8 +203,7 @@
   for (const auto& [host, m] : machines_) {
     for (const Task& t : m->tasks) {
       if (t.status != "running") continue;
-      if (jobs_.at(t.ref).spec.shape == Shape::daemon || total(t) - t.progress >= least)
-        out[t.ref].insert(host);
+      if (t.job->spec.shape == Shape::daemon || total(t) - t.progress >= least) out[t.ref].insert(host);
     }
   }
   return out;
@@ -295,7 +293,7 @@
   if (m.pulls.empty()) return;
   std::erase_if(m.pulls, [&](const auto& p) {
     return std::none_of(m.tasks.begin(), m.tasks.end(), [&](const Task& t) {
-      return t.status == "pulling" && jobs_.at(t.ref).spec.bundle == p.first;
+      return t.status == "pulling" && t.job->spec.bundle == p.first;
     });
   });
   const double seconds = to_seconds(wires_.now() - stepped_) * speed_;
@@ -309,9 +307,8 @@
   for (const std::string& bundle : there) {
     m.pulls.erase(bundle);
     for (const Task& t : m.tasks) {
-      const JobSpec& spec = jobs_.at(t.ref).spec;
-      if (spec.bundle != bundle) continue;
-      keep_image(m, bundle, spec.image_gb);
+      if (t.job == nullptr || t.job->spec.bundle != bundle) continue;
+      keep_image(m, bundle, t.job->spec.image_gb);
       break;
     }
   }
@@ -329,13 +326,13 @@
 }
 
 Micros Machines::total(const Task& t) const {
-  const JobTruth& j = jobs_.at(t.ref);
+  const JobTruth& j = *t.job;
   return scaled(j.run.count() > 0 ? j.run : j.spec.expected, t.luck);
 }
 
 /// The task has its image: from now on it is on its machine.
 void Machines::got_image(Machine& m, Task& t) {
-  const JobSpec& spec = jobs_.at(t.ref).spec;
+  const JobSpec& spec = t.job->spec;
   keep_image(m, spec.bundle, spec.image_gb);
   checker_.started(wires_.now(), t.ref, t.task, m.ref, m.flavor, m.site, m.standby);
   m.next_report = std::min(m.next_report, wires_.now());
@@ -352,7 +349,7 @@
 
 void Machines::step_task(Machine& m, Task& t) {
   const Instant now = wires_.now();
-  const JobSpec& spec = jobs_.at(t.ref).spec;
+  const JobSpec& spec = t.job->spec;
   if (t.status == "pulling") {
     if (m.has(spec.bundle)) got_image(m, t);
     return;
@@ -365,7 +362,7 @@
     exit_task(m, t, "stopped");
     return;
   }
-  if (mistaken_.contains(t.ref) || jobs_.at(t.ref).mistaken || faulty_.contains(m.ref)) {
+  if (mistaken_.contains(t.ref) || t.job->mistaken || faulty_.contains(m.ref)) {
     if (now - t.since > from_seconds(1)) exit_task(m, t, "error");
     return;
   }
@@ -384,7 +381,7 @@
   for (const auto& [ref, m] : machines_) {
     for (Task& t : m->tasks) {
       if (t.ended() || t.status == "pulling") continue;
-      if (jobs_.at(t.ref).spec.shape == Shape::gang) found[{t.ref, t.attempt}].emplace_back(m.get(), &t);
+      if (t.job->spec.shape == Shape::gang) found[{t.ref, t.attempt}].emplace_back(m.get(), &t);
     }
   }
   std::erase_if(gangs_, [&](const auto& g) { return !found.contains(g.first); });
@@ -464,8 +461,7 @@
   }
   every([&](Machine& m, Task& t) {
     t.progress = g.progress;
-    if (mistaken_.contains(t.ref) || jobs_.at(t.ref).mistaken || faulty_.contains(m.ref))
-      exit_task(m, t, "error");
+    if (mistaken_.contains(t.ref) || t.job->mistaken || faulty_.contains(m.ref)) exit_task(m, t, "error");
   });
   // One done, all done: the others learn of it by the results.
   if (!tasks.front().second->ended() && g.progress >= total(*tasks.front().second))
@@ -473,7 +469,7 @@
 }
 
 void Machines::exit_task(Machine& m, Task& t, const std::string& cause) {
-  const JobSpec& spec = jobs_.at(t.ref).spec;
+  const JobSpec& spec = t.job->spec;
   if (t.on()) checker_.left(t.ref, t.task, m.ref);
   const double cores = from_amount(spec.needs.cores);
   if (cause == "done") {
@@ -504,6 +500,7 @@
   t.attempt = attempt;
   t.since = wires_.now();
   const JobTruth* job = this->job(ref);
+  t.job = job;
   m.next_report = std::min(m.next_report, wires_.now());
   const auto refuse = [&](const char* cause) {
     t.become("ended", wires_.now());
@@ -521,7 +518,7 @@
       refuse("in_use");
       return;
     }
-    room -= jobs_.at(x.ref).spec.needs;
+    room -= x.job->spec.needs;
   }
   if (!job->spec.needs.fits(room)) {
     refuse("no_room");
@@ -536,7 +533,7 @@
 }
 
 void Machines::halt_order(Task& t, Machine& m, Micros leeway) {
-  const JobSpec& spec = jobs_.at(t.ref).spec;
+  const JobSpec& spec = t.job->spec;
   const Instant now = wires_.now();
   if (t.status == "running" && spec.saves() && leeway >= spec.snapshot) {
     t.become("saving", now);
--- a/lab/models/users.cpp
+++ b/lab/models/users.cpp
@@ -76,7 +76,15 @@
 }
 
 void Balancer::send(const Request& r, Micros timeout, Done done) {
-  attempt(r, timeout, kMostTries, {}, std::move(done));
+  if (!on_outcome) {
+    attempt(r, timeout, kMostTries, {}, std::move(done));
+    return;
+  }
+  attempt(r, timeout, kMostTries, {},
+          [this, r, asked = wires_.now(), done = std::move(done)](const base::Outcome& o) {
+            on_outcome(r, o, wires_.now() - asked);
+            done(o);
+          });
 }
 
 void Balancer::attempt(const Request& r, Micros timeout, int left, std::set<std::size_t> tried, Done done) {
