Questions are answered from an index that one request for all brings up to date

Cause: users' reads waited behind users' changes in one queue, and a change that waited for its part of the changes' pace (a follower has 15%) kept every question behind it, while a third of the requests' pace was left; and questions were compared job by job, so that they took the pace that submissions needed. Change: the store keeps users' reads and changes apart, each kind of change has its turn, and what would wait longer than its user is refused at once. JobIndex keeps the live jobs at one revision; questions wait for one /follow for all of them, and the ends that it shows are read with one more. Until it is whole, after a start or when the service has the changes no more, records are read as before. A job that it does not know is still looked for in both records before it is called unknown. No record or heartbeat changes. Tests: store, index and questions by themselves and in the lab; the lab loses answers of follows that wait for nothing as it loses those of reads.

--- a/lab/sim/include/wrenusher/lab/world.hpp
+++ b/lab/sim/include/wrenusher/lab/world.hpp
@@ -68,6 +68,7 @@
   struct Asked {
     bool reads = false;
     std::vector<std::string> keys;
+    bool prefix = false;  ///< all keys that begin so, and not these keys alone
   };
   static std::optional<Asked> asked_of(const Request& r);
   bool loses_answer(const std::string& who, const Asked& asked);
@@ -124,7 +125,7 @@
   void withdraw(const std::string& ref) { users_.withdraw(ref); }
   std::string told(const std::string& ref) const { return users_.told(ref); }
   /// One request to one controller, answered within the given time or not at all.
-  void tell(int controller, const Request& request, const Done& done);
+  void tell(int controller, const Request& request, const Done& done, Micros within = from_seconds(2));
   std::optional<Response> ask(int controller, const Request& request, Micros within = from_seconds(5));
 
   // Troubles
--- a/src/controller/controller.cpp
+++ b/src/controller/controller.cpp
@@ -107,6 +107,7 @@
   leadership_.start();
   peer_.start();
   standby_.start();
+  frontdesk_.start();
   fleet_.start();
   ledger_.start();
   provisioner_.start();
--- a/src/desk/frontdesk.cpp
+++ b/src/desk/frontdesk.cpp
@@ -53,7 +53,12 @@
 }  // namespace
 
 Frontdesk::Frontdesk(Runtime& rt, const Settings& settings, Store& store)
-    : rt_(rt), settings_(settings), store_(store), order_(settings.peers.empty()) {}
+    : rt_(rt), settings_(settings), store_(store), order_(settings.peers.empty()), index_(rt, store) {
+  index_.on_ended = [this](const std::string& ref, const std::string& state, std::uint64_t done) {
+    remember(ref, {state, done, 0});
+  };
+  index_.on_followed = [this](const RecordsFollowed& f) { on_followed(f); };
+}
 
 void Frontdesk::on_peer(const PeerNews& news) {
   if (!news.reached) return;
@@ -166,12 +171,14 @@
   return live_state(ref, it != known_.end() && it->second.withdrawn);
 }
 
-/// The state of a job as the state service has it now. What was read before needs only to be compared, and
-/// many are compared in one request: with one for every poll, a few hundred users took all the requests a
-/// second there are.
+/// The state of a job as the state service has it now. Without the index what was read before needs only to
+/// be compared, and many are compared in one request: with one for every poll, a few hundred users took all
+/// the requests a second there are.
 void Frontdesk::lookup(const std::string& ref, std::function<void(Found)> done) {
   if (const auto it = finals_.find(ref); it != finals_.end()) {
     done(Found{false, it->second, rt_.now()});
+  } else if (index_.whole()) {
+    look_up_in_index(ref, std::move(done));
   } else if (!known_.contains(ref)) {
     read(ref, done);
   } else if (checks_.size() >= kMostChecks) {
@@ -184,6 +191,35 @@
   }
 }
 
+void Frontdesk::look_up_in_index(const std::string& ref, std::function<void(Found)> done) {
+  if (!index_.has_room()) {
+    done(Found{true, std::nullopt, {}, true});
+    return;
+  }
+  index_.ask(ref, [this, ref, done = std::move(done)](const JobIndex::Answer& a) {
+    if (const auto it = finals_.find(ref); it != finals_.end()) {
+      done(Found{false, it->second, a.sent});
+      return;
+    }
+    switch (a.standing) {
+      case JobIndex::Standing::live:
+      case JobIndex::Standing::cancelled:
+        done(Found{false, live_state(ref, a.standing == JobIndex::Standing::cancelled), a.sent});
+        break;
+      case JobIndex::Standing::absent:
+        read(ref, done);
+        break;
+      case JobIndex::Standing::failed:
+        if (index_.whole()) {
+          done({});
+        } else {
+          lookup(ref, done);
+        }
+        break;
+    }
+  });
+}
+
 void Frontdesk::check() {
   std::vector<Check> asked;
   std::map<std::string, std::uint64_t> stamps;
@@ -234,7 +270,7 @@
   // transaction, so a job that exists is seen in one of them.
   store_.get(records::job_key(ref), Store::Urgent::user, [this, ref, done](Read live) {
     if (live.result != Read::Result::ok) {
-      done({});
+      done(Found{true, std::nullopt, {}, live.crowded});
       return;
     }
     if (!live.rows.empty()) {
@@ -245,7 +281,7 @@
     }
     store_.get(records::end_key(ref), Store::Urgent::user, [this, ref, done, sent = live.sent](Read end) {
       if (end.result != Read::Result::ok) {
-        done({});
+        done(Found{true, std::nullopt, {}, end.crowded});
         return;
       }
       if (end.rows.empty()) {
@@ -430,7 +466,7 @@
             known_or(id, no_state(), answer);
             break;
           case Commit::Result::refused:
-            answer(no_state());
+            answer(c.crowded ? busy() : no_state());
             break;
           case Commit::Result::invalid:
             answer(refuse({400, "not_kept", "The state service does not take this description.", "", 0}));
@@ -466,7 +502,7 @@
   }
   store_.get(records::job_key(ref), Store::Urgent::user, [this, ref, tries, answer](Read r) {
     if (r.result != Read::Result::ok) {
-      answer(no_state());
+      answer(r.crowded ? busy() : no_state());
       return;
     }
     if (r.rows.empty()) {
@@ -486,7 +522,7 @@
                       know(ref, {c.revision, true});
                       tell(ref, Found{false, newest(ref), c.sent}, say, answer);
                     } else if (c.result == Commit::Result::refused) {
-                      answer(no_state());
+                      answer(c.crowded ? busy() : no_state());
                     } else {
                       withdraw(ref, tries - 1, answer);
                     }
--- a/src/desk/include/wrenusher/desk/frontdesk.hpp
+++ b/src/desk/include/wrenusher/desk/frontdesk.hpp
@@ -1,14 +1,16 @@
 #pragma once
 // Package desk: users' requests, on any node. Everything is decided by the state service, nothing by this
-// node's memory but final states; it owns the cache of those, the questions that the next comparison settles,
-// and the answers that wait until they may be given (AnswerOrder). It may depend on base, settings, protocol,
-// store, records and mail.
+// node's memory but final states; it owns the cache of those, the index of live jobs that each question has
+// brought up to date (JobIndex), and the answers that wait until they may be given (AnswerOrder). While the
+// index is not whole, records are read one by one and compared in groups. It may depend on base, settings,
+// protocol, store, records and mail.
 
 #include <deque>
 #include <memory>
 #include <unordered_map>
 
 #include "wrenusher/desk/answer_order.hpp"
+#include "wrenusher/desk/job_index.hpp"
 #include "wrenusher/mail/mail.hpp"
 #include "wrenusher/settings/settings.hpp"
 #include "wrenusher/store/store.hpp"
@@ -24,6 +26,8 @@
 class Frontdesk {
  public:
   Frontdesk(Runtime& rt, const Settings& settings, Store& store);
+  /// Begins to read the live jobs, so that questions can be answered from the index.
+  void start() { index_.begin(); }
   void serve(const Request& request, const Answer& answer);
 
   void on_topology(const TopologyInForce& t) { topology_ = t; }
@@ -64,6 +68,7 @@
     std::function<void(Found)> done;
   };
   void lookup(const std::string& ref, std::function<void(Found)> done);
+  void look_up_in_index(const std::string& ref, std::function<void(Found)> done);
   void read(const std::string& ref, const std::function<void(Found)>& done);
   void check();
   void settle_checks(std::vector<Check> asked, const Commit& c);
@@ -97,6 +102,7 @@
   std::unordered_map<std::string, Known> known_;
   std::deque<std::string> known_order_;
   AnswerOrder order_;
+  JobIndex index_;
   /// Answers that wait until they may be given.
   std::map<std::pair<std::string, Level>, std::vector<std::function<void()>>> held_;
   /// Questions that the next comparison settles.
--- a/src/records/include/wrenusher/records/records.hpp
+++ b/src/records/include/wrenusher/records/records.hpp
@@ -26,17 +26,22 @@
 using namespace base;
 using namespace protocol;
 
+inline constexpr const char* kJobPrefix = "job/";
+inline constexpr const char* kEndPrefix = "end/";
+
 inline std::string job_key(const std::string& ref) {
-  return "job/" + ref;
+  return kJobPrefix + ref;
 }
 inline std::string end_key(const std::string& ref) {
-  return "end/" + ref;
+  return kEndPrefix + ref;
 }
 inline std::string slot_key(std::uint32_t slot) {
   return "claims/" + std::to_string(slot);
 }
 /// The job of "job/<ref>".
 std::optional<std::string> parse_job_key(const std::string& key);
+/// The job of "end/<ref>".
+std::optional<std::string> parse_end_key(const std::string& key);
 std::optional<std::uint32_t> parse_slot_key(const std::string& key);
 /// The job, where this is the record of a live one that is cancelled.
 std::optional<std::string> cancelled_job(const std::string& key, const Value& v);
--- a/src/records/records.cpp
+++ b/src/records/records.cpp
@@ -22,11 +22,20 @@
   return n;
 }
 
+/// The job that the key names behind the prefix.
+std::optional<std::string> ref_after(const std::string& prefix, const std::string& key) {
+  if (!key.starts_with(prefix) || !valid_ref(key.substr(prefix.size()))) return std::nullopt;
+  return key.substr(prefix.size());
+}
+
 }  // namespace
 
 std::optional<std::string> parse_job_key(const std::string& key) {
-  if (!key.starts_with("job/") || !valid_ref(key.substr(4))) return std::nullopt;
-  return key.substr(4);
+  return ref_after(kJobPrefix, key);
+}
+
+std::optional<std::string> parse_end_key(const std::string& key) {
+  return ref_after(kEndPrefix, key);
 }
 
 std::optional<std::string> cancelled_job(const std::string& key, const Value& v) {
--- a/src/store/include/wrenusher/store/store.hpp
+++ b/src/store/include/wrenusher/store/store.hpp
@@ -28,7 +28,8 @@
   std::vector<Row> rows;  ///< empty: absent
   bool truncated = false;
   std::uint64_t revision = 0;
-  Instant sent{};  ///< when the service was asked: what it says was so then or later
+  Instant sent{};        ///< when the service was asked: what it says was so then or later
+  bool crowded = false;  ///< failed since too much waits here: it was not asked
 };
 
 struct Condition {
@@ -53,7 +54,8 @@
   Result result = Result::refused;
   std::uint64_t revision = 0;
   std::vector<std::string> failed;
-  Instant sent{};  ///< when the service was asked
+  Instant sent{};        ///< when the service was asked
+  bool crowded = false;  ///< refused since too much waits here: the service was not asked
 };
 
 struct HoldReply {
@@ -73,6 +75,7 @@
   std::uint64_t revision = 0;
   std::vector<Row> puts;
   std::vector<std::pair<std::string, std::uint64_t>> deletes;  ///< key, stamp
+  Instant sent{};  ///< when the service was asked: where it did not wait, what it says was so then or later
 };
 
 /// Whether the state service answered this node of late.
@@ -87,6 +90,8 @@
   void rate(double per_second) { rate_ = per_second; }
   double rate() const { return rate_; }
   bool take(double n, Instant now);
+  /// Whether `take` would.
+  bool has(double n, Instant now);
   /// Takes even what is not there: for calls that must not wait.
   void force(double n, Instant now);
   double tokens(Instant now) {
@@ -129,6 +134,10 @@
   bool reachable() const;
   /// How many changes a scheduling write may make now; none while another one waits.
   std::size_t writes_ready();
+  /// Whether nothing waits and half a second's worth of requests is left.
+  bool requests_to_spare();
+  /// Requests a second that this node may make now.
+  double request_rate() const { return requests_.rate(); }
 
   Sink<StoreHealth> health;
 
@@ -138,9 +147,12 @@
     std::function<void()> send;
     Instant since;
   };
+  using Queue = std::deque<Queued>;
   void submit(Urgent urgent, double writes, std::function<void()> send, std::function<void()> refuse);
+  bool crowded(const Queue& queue, double writes) const;
   void pump();
-  std::deque<Queued>* next_queue();
+  bool may_go(const Queue& queue, Instant now);
+  Queue* next_queue(Instant now);
   void call(Request request, Micros timeout, Done done);
   void seen(bool good);
 
@@ -148,10 +160,15 @@
   const Settings& settings_;
   Pace requests_;
   Pace writes_;
-  std::deque<Queued> user_queue_;
-  std::deque<Queued> queue_;
-  std::deque<Queued> spare_queue_;
-  bool users_turn_ = true;
+  // Users' reads and changes wait apart: reads need no part of the changes' pace, and went behind them for
+  // seconds while a third of the requests' pace was left.
+  Queue user_reads_;
+  Queue user_writes_;
+  Queue scheduling_;
+  Queue spare_;
+  static constexpr std::size_t kTurns = 3;
+  std::size_t turn_ = 0;          ///< which of the first three is asked first
+  bool users_write_next_ = true;  ///< of users' and scheduling changes that both wait
   bool pumping_ = false;
   Instant last_good_{};
   bool ever_good_ = false;
--- a/src/store/store.cpp
+++ b/src/store/store.cpp
@@ -13,6 +13,12 @@
 constexpr Micros kStale = from_seconds(2.0);
 /// Users' calls beyond this many waiting ones are refused at once.
 constexpr std::size_t kMostWaiting = 64;
+/// So are those that would wait longer than this for their part of the pace: a user gives a submission up
+/// after 5 s and a question after 2 s, and what is sent for nobody is taken from others.
+constexpr Micros kMostWriteWait = from_seconds(3.5);
+constexpr Micros kMostReadWait = from_seconds(1.5);
+/// So many may wait however slow the pace is.
+constexpr std::size_t kLeastWaiting = 4;
 constexpr double kLeaderShare = 0.7;
 /// An answer to a follow holds every change since it was asked from, and the service sets no limit: after a
 /// pause of a minute it was 30 MB here, ten times as much once decoded, and the node ended for memory.
@@ -45,13 +51,17 @@
 }
 
 bool Pace::take(double n, Instant now) {
-  refill(now);
-  // A change larger than one second's worth goes out once the bucket is full, and is paid off afterwards.
-  if (tokens_ < std::min(n, rate_ * 0.999)) return false;
+  if (!has(n, now)) return false;
   tokens_ -= n;
   return true;
 }
 
+bool Pace::has(double n, Instant now) {
+  refill(now);
+  // A change larger than one second's worth goes out once the bucket is full, and is paid off afterwards.
+  return tokens_ >= std::min(n, rate_ * 0.999);
+}
+
 void Pace::force(double n, Instant now) {
   refill(now);
   tokens_ -= n;
@@ -110,8 +120,11 @@
     send();
     return;
   }
-  auto& queue = urgent == Urgent::user ? user_queue_ : urgent == Urgent::spare ? spare_queue_ : queue_;
-  if (urgent == Urgent::user && queue.size() >= kMostWaiting) {
+  Queue& queue = urgent == Urgent::schedule ? scheduling_
+                 : urgent == Urgent::spare  ? spare_
+                 : writes > 0               ? user_writes_
+                                            : user_reads_;
+  if (urgent == Urgent::user && crowded(queue, writes)) {
     rt_.post(std::move(refuse));
     return;
   }
@@ -119,54 +132,89 @@
   pump();
 }
 
+/// Whether one more of users' calls would wait for too long.
+bool Store::crowded(const Queue& queue, double writes) const {
+  if (queue.size() >= kMostWaiting) return true;
+  if (queue.size() < kLeastWaiting) return false;
+  const double ahead = static_cast<double>(queue.size());
+  return writes > 0 ? ahead > writes_.rate() * to_seconds(kMostWriteWait)
+                    : ahead > requests_.rate() * to_seconds(kMostReadWait);
+}
+
 std::size_t Store::writes_ready() {
   const Instant now = rt_.now();
-  if (now < backoff_until_ || !queue_.empty()) return 0;
+  if (now < backoff_until_ || !scheduling_.empty()) return 0;
   const double ready = std::max(0.0, writes_.tokens(now));
-  // While users' calls wait they take every token as it comes, and none would ever be left over: a scheduling
-  // write then takes its turn among them and waits for a fair part of the pace.
-  return static_cast<std::size_t>(user_queue_.empty() ? ready : std::max(ready, writes_.rate() / 4));
+  // While users' changes wait they take every token as it comes, and none would ever be left over: a
+  // scheduling write then takes its turn among them and waits for a fair part of the pace.
+  return static_cast<std::size_t>(user_writes_.empty() ? ready : std::max(ready, writes_.rate() / 4));
 }
 
-/// Null when nothing waits.
-std::deque<Store::Queued>* Store::next_queue() {
-  if (!spare_queue_.empty() && rt_.now() - spare_queue_.front().since >= kSpareWaits) return &spare_queue_;
-  // In turn, so that neither a storm of polls nor a long commit keeps the others out.
-  if (!user_queue_.empty() && (queue_.empty() || users_turn_)) return &user_queue_;
-  if (!queue_.empty()) return &queue_;
-  return spare_queue_.empty() ? nullptr : &spare_queue_;
+bool Store::requests_to_spare() {
+  const Instant now = rt_.now();
+  return now >= backoff_until_ && user_reads_.empty() && user_writes_.empty() &&
+         requests_.tokens(now) >= requests_.rate() * kSpare;
+}
+
+/// Whether the first call of the queue has what it needs beside a request's token.
+bool Store::may_go(const Queue& queue, Instant now) {
+  if (queue.empty()) return false;
+  const double writes = queue.front().writes;
+  if (writes == 0) return true;
+  // Of two that wait to change something the one whose turn it is goes first, however little the other needs.
+  const auto wants = [](const Queue& q) { return !q.empty() && q.front().writes > 0; };
+  const bool users = &queue == &user_writes_;
+  const bool turn =
+      users ? users_write_next_ || !wants(scheduling_) : !users_write_next_ || !wants(user_writes_);
+  return turn && writes_.has(writes, now);
+}
+
+/// Null when nothing may go out now. In turn, so that neither a storm of questions nor a long commit keeps
+/// the others out.
+Store::Queue* Store::next_queue(Instant now) {
+  if (!spare_.empty() && now - spare_.front().since >= kSpareWaits) return &spare_;
+  Queue* const queues[kTurns] = {&user_reads_, &user_writes_, &scheduling_};
+  for (std::size_t i = 0; i < kTurns; ++i) {
+    Queue* queue = queues[(turn_ + i) % kTurns];
+    if (!may_go(*queue, now)) continue;
+    turn_ = (turn_ + i + 1) % kTurns;
+    return queue;
+  }
+  // What is spare is what half a second's worth is left of, whoever comes next.
+  const bool busy = !user_reads_.empty() || !user_writes_.empty() || !scheduling_.empty() ||
+                    requests_.tokens(now) < requests_.rate() * kSpare;
+  return busy || spare_.empty() ? nullptr : &spare_;
 }
 
 void Store::pump() {
   if (pumping_) return;
-  while (auto* next = next_queue()) {
-    auto& queue = *next;
-    const Instant now = rt_.now();
-    const Queued& q = queue.front();
-    // What is spare is what half a second's worth is left of, whoever comes next.
-    const bool busy = &queue == &spare_queue_ && now - q.since < kSpareWaits &&
-                      requests_.tokens(now) < requests_.rate() * kSpare;
-    const bool wait = now < backoff_until_ || busy || !requests_.take(1, now);
-    if (!wait && q.writes > 0 && !writes_.take(q.writes, now)) {
-      requests_.force(-1, now);
-    } else if (!wait) {
-      auto send = std::move(queue.front().send);
-      queue.pop_front();
-      users_turn_ = !users_turn_;
-      send();
-      continue;
+  const Instant now = rt_.now();
+  while (now >= backoff_until_ && requests_.has(1, now)) {
+    Queue* queue = next_queue(now);
+    if (queue == nullptr) break;
+    const Queued call = std::move(queue->front());
+    queue->pop_front();
+    requests_.force(1, now);
+    if (call.writes > 0) {
+      writes_.force(call.writes, now);
+      users_write_next_ = queue != &user_writes_;
     }
-    pumping_ = true;
-    rt_.after(millis(20), [this] {
-      pumping_ = false;
-      pump();
-    });
-    return;
+    call.send();
   }
+  if (user_reads_.empty() && user_writes_.empty() && scheduling_.empty() && spare_.empty()) return;
+  pumping_ = true;
+  rt_.after(millis(20), [this] {
+    pumping_ = false;
+    pump();
+  });
 }
 
 void Store::get(const std::string& key, Urgent urgent, std::function<void(Read)> done) {
-  auto failed = [done] { done(Read{}); };
+  auto failed = [done] {
+    Read r;
+    r.crowded = true;
+    done(std::move(r));
+  };
   submit(
       urgent, 0,
       [this, key, done] {
@@ -188,7 +236,11 @@
 
 void Store::list(const std::string& prefix, const std::string& from, int limit, Urgent urgent,
                  std::function<void(Read)> done) {
-  auto failed = [done] { done(Read{}); };
+  auto failed = [done] {
+    Read r;
+    r.crowded = true;
+    done(std::move(r));
+  };
   std::string target = "/store?starts=" + prefix + "&limit=" + std::to_string(limit);
   if (!from.empty()) target += "&from=" + from;
   submit(
@@ -267,7 +319,11 @@
           done(std::move(c));
         });
       },
-      [done] { done(Commit{}); });
+      [done] {
+        Commit c;
+        c.crowded = true;
+        done(std::move(c));
+      });
 }
 
 void Store::hold(Micros life, std::function<void(HoldReply)> done) {
@@ -316,32 +372,34 @@
                    std::function<void(FollowReply)> done) {
   const std::string target = "/follow?starts=" + prefix + "&from=" + std::to_string(from) +
                              "&hold_ms=" + std::to_string(wait.count() / 1000);
-  submit(urgent, 0,
-         [this, target, wait, done] {
-           call({"GET", target, {}, false, kMostFollowed}, wait + kTimeout, [done](Outcome o) {
-             FollowReply f;
-             if (o.answered && o.response.status == 410) f.result = FollowReply::Result::too_old;
-             if (o.too_large) f.result = FollowReply::Result::too_large;
-             if (o.answered && o.response.status == 200) {
-               auto v = decode(o.response.body);
-               o.response.body = {};
-               if (v && (*v)["events"].list() != nullptr) {
-                 f.result = FollowReply::Result::ok;
-                 f.revision = revision_of(*v);
-                 Value events = v->take("events");
-                 for (Value& e : *events.list()) {
-                   if (e["put"].text() != nullptr) {
-                     f.puts.push_back(read_row(e, "put"));
-                   } else if (const std::string* gone = e["delete"].text()) {
-                     f.deletes.emplace_back(*gone, e["stamp"].count().value_or(0));
-                   }
-                 }
-               }
-             }
-             done(std::move(f));
-           });
-         },
-         {});
+  submit(
+      urgent, 0,
+      [this, target, wait, done] {
+        call({"GET", target, {}, false, kMostFollowed}, wait + kTimeout, [done, sent = rt_.now()](Outcome o) {
+          FollowReply f;
+          f.sent = sent;
+          if (o.answered && o.response.status == 410) f.result = FollowReply::Result::too_old;
+          if (o.too_large) f.result = FollowReply::Result::too_large;
+          if (o.answered && o.response.status == 200) {
+            auto v = decode(o.response.body);
+            o.response.body = {};
+            if (v && (*v)["events"].list() != nullptr) {
+              f.result = FollowReply::Result::ok;
+              f.revision = revision_of(*v);
+              Value events = v->take("events");
+              for (Value& e : *events.list()) {
+                if (e["put"].text() != nullptr) {
+                  f.puts.push_back(read_row(e, "put"));
+                } else if (const std::string* gone = e["delete"].text()) {
+                  f.deletes.emplace_back(*gone, e["stamp"].count().value_or(0));
+                }
+              }
+            }
+          }
+          done(std::move(f));
+        });
+      },
+      [done] { done(FollowReply{}); });
 }
 
 }  // namespace wrenusher::store
--- /dev/null
+++ b/tests/store_test.cpp
@@ -0,0 +1,161 @@
+// Whose turn it is at the state service: reads, changes, scheduling and what is only spare share one pace.
+
+#include "wrenusher/store/store.hpp"
+
+#include <gtest/gtest.h>
+
+#include "by_hand.hpp"
+#include "wrenusher/lab/world.hpp"
+
+namespace {
+
+using namespace wrenusher::base;
+using wrenusher::lab::World;
+using wrenusher::settings::Settings;
+using wrenusher::store::Change;
+using wrenusher::store::Commit;
+using wrenusher::store::FollowReply;
+using wrenusher::store::Read;
+using wrenusher::store::Store;
+
+/// A node alone with a state service that answers 200 to everything, at once.
+struct StoreByHand {
+  Settings settings = [] {
+    Settings s = World::small_site();
+    s.state_rps = 100;
+    s.state_write_rps = 10;
+    return s;
+  }();
+  ByHand rt;
+  Store store{rt, settings};
+  int reads = 0;    ///< that reached the service
+  int commits = 0;  ///< likewise
+
+  void pass(Micros time) {
+    for (Micros t{}; t < time; t += millis(10)) {
+      rt.pass(millis(10));
+      answer();
+    }
+  }
+  void answer() {
+    while (!rt.calls.empty()) {
+      const auto calls = std::exchange(rt.calls, {});
+      for (const ByHand::Call& c : calls) {
+        (c.request.method == "GET" ? reads : commits) += 1;
+        c.done({true, true, {200, encode(Value::Map{{"ledger_rev", 5}, {"value", 1}}), 0}});
+      }
+    }
+  }
+  void change(Store::Urgent urgent, int puts, std::function<void(Commit)> done) {
+    std::vector<Change> changes;
+    for (int i = 0; i < puts; ++i) changes.push_back({"k" + std::to_string(i), Value(1), 0});
+    store.commit({}, changes, urgent, std::move(done));
+  }
+  /// Uses up what a second's rest has left of the changes' pace.
+  void use_up_changes() {
+    change(Store::Urgent::hold, 10, [](const Commit&) {});
+    answer();
+  }
+};
+
+// While a third of the requests' pace was left, questions waited behind submissions that waited for theirs.
+TEST(StorePace, QuestionsDoNotWaitBehindChanges) {
+  StoreByHand s;
+  s.use_up_changes();
+  for (int i = 0; i < 20; ++i) s.change(Store::Urgent::user, 1, [](const Commit&) {});
+  int answered = 0;
+  for (int i = 0; i < 30; ++i) {
+    s.store.get("x", Store::Urgent::user, [&](const Read& r) { answered += r.result == Read::Result::ok; });
+  }
+  s.pass(millis(200));
+  EXPECT_EQ(answered, 30);
+  EXPECT_LE(s.commits, 4);
+  s.pass(from_seconds(3));
+  EXPECT_GE(s.commits, 20);
+}
+
+TEST(StorePace, ChangesGoOnWhileQuestionsStorm) {
+  StoreByHand s;
+  int committed = 0;
+  for (int second = 0; second < 5; ++second) {
+    for (int i = 0; i < 100; ++i) {
+      for (int k = 0; k < 3; ++k) s.store.get("x", Store::Urgent::user, [](const Read&) {});
+      if (i % 10 == 0) {
+        for (const auto urgent : {Store::Urgent::user, Store::Urgent::schedule}) {
+          if (i % 20 == 0)
+            s.change(urgent, 1, [&](const Commit& c) { committed += c.result == Commit::Result::committed; });
+        }
+      }
+      s.pass(millis(10));
+    }
+  }
+  EXPECT_GE(committed, 45);  // 10 a second were asked for, and there is pace for 9.5
+}
+
+// Of two kinds of change that wait neither starves the other, though one needs ten times as much at a time.
+TEST(StorePace, SchedulingAndUsersChangesTakeTurns) {
+  StoreByHand s;
+  int users = 0;
+  int scheduled = 0;
+  for (int i = 0; i < 200; ++i) {
+    s.change(Store::Urgent::user, 1,
+             [&](const Commit& c) { users += c.result == Commit::Result::committed; });
+    if (i % 10 == 0) s.change(Store::Urgent::schedule, 5, [&](const Commit&) { ++scheduled; });
+    s.pass(millis(100));
+  }
+  // 9.5 a second for 20 s: five for scheduling, one for a user, and so on.
+  EXPECT_GE(scheduled, 18);
+  EXPECT_GE(users, 18);
+}
+
+TEST(StorePace, WhatWouldWaitTooLongIsRefusedAtOnceAndSaysSo) {
+  StoreByHand s;
+  s.use_up_changes();
+  int refused = 0;
+  int committed = 0;
+  Instant last{};
+  for (int i = 0; i < 60; ++i) {
+    s.change(Store::Urgent::user, 1, [&](const Commit& c) {
+      if (c.result == Commit::Result::committed) {
+        ++committed;
+        last = s.rt.at;
+        return;
+      }
+      EXPECT_TRUE(c.crowded);
+      EXPECT_EQ(c.result, Commit::Result::refused);
+      ++refused;
+    });
+  }
+  const Instant asked = s.rt.at;
+  EXPECT_GE(refused, 20);
+  s.pass(from_seconds(8));
+  EXPECT_EQ(committed + refused, 60);
+  // Nobody waits for more than a user waits.
+  EXPECT_LE(last - asked, from_seconds(4.5));
+}
+
+TEST(StorePace, FollowsForUsersAreRefusedTooWhenTooManyWait) {
+  StoreByHand s;
+  int answered = 0;
+  int failed = 0;
+  for (int i = 0; i < 400; ++i) {
+    s.store.follow("job/", 3, Micros{0}, Store::Urgent::user, [&](const FollowReply& f) {
+      ++(f.result == FollowReply::Result::failed ? failed : answered);
+    });
+  }
+  s.pass(from_seconds(4));
+  EXPECT_EQ(answered + failed, 400);
+  EXPECT_GE(failed, 100);
+}
+
+TEST(StorePace, SparesNothingWhileAnythingWaits) {
+  StoreByHand s;
+  EXPECT_TRUE(s.store.requests_to_spare());
+  s.use_up_changes();
+  s.change(Store::Urgent::user, 1, [](const Commit&) {});
+  EXPECT_FALSE(s.store.requests_to_spare());
+  s.pass(from_seconds(2));
+  EXPECT_TRUE(s.store.requests_to_spare());
+}
+
+}  // namespace
