--- a/src/planner/include/wrenusher/planner/board.hpp
+++ b/src/planner/include/wrenusher/planner/board.hpp
@@ -217,6 +217,8 @@
   void unfile(Slot slot);
   void file_room(Slot slot, const Needs& room);
   static std::uint32_t size_class(const Needs& room);
+  /// Whether a size class may hold what needs the other: each of the three is at least as wide.
+  static bool covers(std::uint32_t room, std::uint32_t need);
   void change_shelves(const Host& h, Slot slot);
   void schedule(Slot slot);
   void settle(Instant clock);
