--- a/apps/wrenlab/scale_commands.cpp
+++ b/apps/wrenlab/scale_commands.cpp
@@ -40,6 +40,9 @@
   scale->add_option("--tasks-per-worker", options_.tasks_per_worker, "that run at a time (21)");
   scale->add_option("--tasks-per-job", options_.tasks_per_job, "of ordinary jobs (100)");
   scale->add_option("--changes", options_.changes_per_minute, "changes of configuration a minute (4.5)");
+  scale->add_option("--state-requests", options_.state_requests,
+                    "a second of each zone's state service (200)");
+  scale->add_option("--state-puts", options_.state_puts, "likewise, puts and deletes (40)");
   scale->add_option("--report", options_.report_s, "seconds between a worker's reports (1)");
   scale->add_option("--warmup", options_.warmup_s, "seconds before the measurement (20)");
   scale->add_option("--seconds", options_.seconds, "of the measurement (60)");
--- a/lab/scale/cell_run.cpp
+++ b/lab/scale/cell_run.cpp
@@ -76,8 +76,8 @@
   s.gang_wait = from_seconds(20);
   s.gang_peer = from_seconds(4);
   s.cancel = from_seconds(50);
-  s.state_rps = 200;
-  s.state_write_rps = 40;
+  s.state_rps = load.state_requests;
+  s.state_write_rps = load.state_puts;
   s.value_kb = 16;
   s.txn_ops = 24;
   s.cloud_rps = 4;
--- a/lab/scale/include/wrenusher/lab/scale_options.hpp
+++ b/lab/scale/include/wrenusher/lab/scale_options.hpp
@@ -32,6 +32,8 @@
   int held_per_job = 100;         ///< 1: as many live jobs as tasks
   double questions_factor = 1;    ///< how many times as often as once in 3 s each user asks
   double changes_per_minute = 0;  ///< newer editions of the topology file
+  double state_requests = 200;    ///< a second that the state service takes
+  double state_puts = 40;         ///< likewise, puts and deletes
   double warmup_s = 15;
   double seconds = 30;
   bool failures = false;  ///< a phase of failures follows
@@ -41,8 +43,8 @@
 };
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(CellLoad, name, workers, controllers, teams, report_s, starts_per_second,
                                    urgent_share, tasks_per_job, run_s, held_tasks, held_per_job,
-                                   questions_factor, changes_per_minute, warmup_s, seconds, failures,
-                                   settle_s, port, wrenusher)
+                                   questions_factor, changes_per_minute, state_requests, state_puts, warmup_s,
+                                   seconds, failures, settle_s, port, wrenusher)
 
 /// The size of a whole installation: one cell for each zone, with its part of everything.
 struct ScaleOptions {
@@ -55,6 +57,8 @@
   int tasks_per_job = 100;
   double report_s = 1;
   double changes_per_minute = 4.5;
+  double state_requests = 200;  ///< a second that each zone's state service takes
+  double state_puts = 40;       ///< likewise, puts and deletes
   double warmup_s = 20;
   double seconds = 60;
   bool failures = true;
--- a/lab/scale/scale_options.cpp
+++ b/lab/scale/scale_options.cpp
@@ -73,6 +73,8 @@
   between("--tasks-per-job", o.tasks_per_job, 1, 100000);
   between("--report", o.report_s, 0.5, 30);
   between("--changes", o.changes_per_minute, 0, 60);
+  between("--state-requests", o.state_requests, 10, 100000);
+  between("--state-puts", o.state_puts, 5, 100000);
   between("--warmup", o.warmup_s, 5, 600);
   between("--seconds", o.seconds, 10, 3600);
   between("--settle", o.settle_s, 10, 600);
@@ -94,6 +96,8 @@
       c.run_s = std::clamp(o.tasks_per_worker * c.workers / c.starts_per_second, 1.0, 3600.0);
     // Every cell takes every change.
     c.changes_per_minute = o.changes_per_minute;
+    c.state_requests = o.state_requests;
+    c.state_puts = o.state_puts;
     c.warmup_s = o.warmup_s;
     c.seconds = o.seconds;
     c.failures = o.failures;
--- a/tests/scale_test.cpp
+++ b/tests/scale_test.cpp
@@ -89,6 +89,12 @@
   o.report_s = 0;
   expect_refused(o, "--report");
   o = {};
+  o.state_puts = 0;
+  expect_refused(o, "--state-puts");
+  o = {};
+  o.state_requests = 1;
+  expect_refused(o, "--state-requests");
+  o = {};
   o.seconds = 1;
   expect_refused(o, "--seconds");
 }
