lab: operators' files are written before any controller starts

Cause: each controller's start wrote the tunables anew; one that began meanwhile read none, kept to the defaults, returned idle workers and had no topology until another led.

--- a/lab/live/include/wrenusher/lab/live_lab.hpp
+++ b/lab/live/include/wrenusher/lab/live_lab.hpp
@@ -99,6 +99,9 @@
   struct Child;
   std::string settings_json(int i) const;
   std::string topology_path() const;
+  std::string tunables_path() const;
+  std::string tunables_text() const;
+  void write_operators_files();
   void open_ports();
   void start_child(int i);
   void child_ended(Child& c);
--- a/lab/live/live_lab.cpp
+++ b/lab/live/live_lab.cpp
@@ -115,6 +115,7 @@
   }
   cloud_.furnish();
   machines_.start();
+  write_operators_files();
   for (int i = 0; i < options_.controllers; ++i) {
     const std::string file = folder_.path() + "/" + name_of(i) + ".json";
     std::ofstream out(file);
@@ -248,15 +249,9 @@
   std::string flag = "--config";
   std::string file = config;
   std::vector<char*> args{self.data(), as_child.data(), program.data(), flag.data(), file.data()};
-  // Operators' files, which may be changed while the lab runs.
   std::string tunables_flag = "--tunables";
-  std::string tunables = folder_.path() + "/tunables.yaml";
-  const bool with_topology = !options_.site.topology_text.empty();
-  if (with_topology && !fields::read_file(topology_path())) write_topology(options_.site.topology_text);
-  if (with_topology || !options_.tunables.empty()) {
-    std::ofstream(tunables) << options_.tunables << (with_topology ? "topology: topology.yaml\n" : "");
-    args.insert(args.end(), {tunables_flag.data(), tunables.data()});
-  }
+  std::string tunables = tunables_path();
+  if (!tunables_text().empty()) args.insert(args.end(), {tunables_flag.data(), tunables.data()});
   args.push_back(nullptr);
   uv_stdio_container_t stdio[3] = {};
   stdio[0].flags = UV_IGNORE;
@@ -290,6 +285,26 @@
   return c.process.pid;
 }
 
+std::string LiveLab::tunables_path() const {
+  return folder_.path() + "/tunables.yaml";
+}
+
+/// Empty: the controllers are given no tunables.
+std::string LiveLab::tunables_text() const {
+  return options_.tunables + (options_.site.topology_text.empty() ? "" : "topology: topology.yaml\n");
+}
+
+/// Operators' files, which may be changed while the lab runs. Written before any controller is started: one
+/// that starts while its tunables are written reads none, and keeps to the defaults.
+void LiveLab::write_operators_files() {
+  if (!options_.site.topology_text.empty() && !fields::read_file(topology_path()))
+    write_topology(options_.site.topology_text);
+  if (tunables_text().empty()) return;
+  std::ofstream out(tunables_path());
+  out << tunables_text();
+  if (!out.flush()) throw LabError(tunables_path() + ": cannot be written");
+}
+
 std::string LiveLab::topology_path() const {
   return folder_.path() + "/topology.yaml";
 }
--- a/tests/world_test.cpp
+++ b/tests/world_test.cpp
@@ -8,6 +8,7 @@
 
 #include "judged.hpp"
 #include "wrenusher/lab/day.hpp"
+#include "wrenusher/lab/live_lab.hpp"
 
 using namespace wrenusher::lab;
 using namespace wrenusher::protocol;
@@ -549,6 +550,9 @@
 }
 
 int main(int argc, char** argv) {
+  // A lab on loopback starts its children by way of the program that it runs in.
+  if (argc > 2 && std::string(argv[1]) == wrenusher::lab::kChildFlag)
+    return wrenusher::lab::run_child(argv + 2);
   testing::InitGoogleTest(&argc, argv);
   const char* level = std::getenv("LOG_LEVEL");
   spdlog::set_level(level != nullptr ? spdlog::level::from_str(level) : spdlog::level::off);
