--- a/lab/scale/include/wrenusher/lab/scale_options.hpp
+++ b/lab/scale/include/wrenusher/lab/scale_options.hpp
@@ -67,6 +67,9 @@
   std::string wrenusher;
 };
 
+/// Ports that a cell takes, from its first.
+int ports_of(const CellLoad& cell);
+
 /// What this machine has to give.
 struct MachineSize {
   double memory_mb = 0;
--- a/lab/scale/scale_options.cpp
+++ b/lab/scale/scale_options.cpp
@@ -34,12 +34,12 @@
                    " and " + number(most));
 }
 
+}  // namespace
+
 int ports_of(const CellLoad& cell) {
   return kCellPorts + static_cast<int>(cell.workers * kPortsPerWorker);
 }
 
-}  // namespace
-
 MachineSize this_machine() {
   MachineSize size;
   size.processors = std::max(1, static_cast<int>(std::thread::hardware_concurrency()));
--- a/lab/scale/slopes.cpp
+++ b/lab/scale/slopes.cpp
@@ -100,7 +100,7 @@
     c.port = port;
     c.wrenusher = o.wrenusher;
     set(c);
-    port += 250 + static_cast<int>(c.workers * 1.6);
+    port += ports_of(c);
     cells.push_back(std::move(c));
   };
   for (int n : {100, 300, 600, 1000}) add(kMachines, n, [n](CellLoad& c) { c.workers = n; });
