--- a/review/stand/stand.hpp
+++ b/review/stand/stand.hpp
@@ -254,7 +254,10 @@
   void check_memory();
   void reap_children();
 
-  Site site_;
+ public:
+  Site site_;  ///< may be changed while it runs: the state service takes its limits from here
+
+ private:
   std::string folder_, temp_;
   wrenusher::net::UvRuntime rt_;
   wrenusher::time::Instant started_;
