--- a/review/stand/stand.cpp
+++ b/review/stand/stand.cpp
@@ -741,6 +741,11 @@
 
 void Stand::serve_cloud(int node, const Request& r, const Responder& answer) {
   if (links.cloud.contains(node)) return;
+  ++cloud_asked[r.target.substr(0, r.target.find('?')) + " by worker-" + std::to_string(node)];
+  if (links.cloud_trouble) {
+    answer(reply(503, Value::Map{{"error", "trouble"}}));
+    return;
+  }
   if (cloud_tokens_ < 1) {
     answer(reply(429));
     return;
--- a/review/stand/stand.hpp
+++ b/review/stand/stand.hpp
@@ -83,6 +83,7 @@
 struct Links {
   std::set<int> state;                   ///< controllers cut from the state service
   std::set<int> cloud;                   ///< controllers cut from the cloud
+  bool cloud_trouble = false;            ///< the cloud's interface is down: it answers 503 `trouble`
   std::set<std::pair<int, int>> peers;   ///< pairs of controllers (both orders)
   std::set<int> workers;                 ///< controllers cut from the workers
   std::set<int> users;                   ///< controllers cut from the users
@@ -191,6 +192,7 @@
   std::function<void(const Worker&, const Task&)> on_start;
   std::uint64_t starts = 0, completed = 0, leases_lost = 0, refused_reports = 0, oversized_responses = 0;
   std::vector<std::string> broken;  ///< ran_twice, quota
+  std::map<std::string, int> cloud_asked;  ///< requests to the cloud by path and controller
   std::size_t largest_response = 0, largest_report = 0;
   std::map<std::string, double> withdrawn_at;  ///< when a user was first told so
   double random() { return static_cast<double>(rt_.random()() % 1000000) / 1e6; }
