--- a/review/1/case.cpp
+++ b/review/1/case.cpp
@@ -13,11 +13,11 @@
   s.links.state_delay = 0.01;  // "Responses normally take under 10 ms"
   s.start_proxy();
   s.start_controllers();
-  for (int i = 0; i < 16; ++i) s.add_worker("condor", "medellin");
+  for (int i = 0; i < 36; ++i) s.add_worker("condor", "medellin");
   if (!s.run_until([&] { return s.leader() >= 0; }, 15)) return 2;
   s.run(4);
-  // Security patch builds as in the class parches: 1 CPU, 1.4 GB, around 35 s; ten arrays of 71.
-  for (int i = 0; i < 10; ++i) {
+  // Security patch builds as in the class parches: 1 CPU, 1.4 GB, around 35 s; 30 arrays of 71.
+  for (int i = 0; i < 30; ++i) {
     stand::Job job;
     char ref[16];
     std::snprintf(ref, sizeof ref, "req-%06d", i + 1);
@@ -33,10 +33,21 @@
     const auto answer = s.submit_until_accepted(job, i);
     if (answer.status != 200 && answer.status != 201) return 2;
   }
-  if (!s.run_until([&] { return s.completed >= 150; }, 60)) return 2;
+  if (!s.run_until([&] { return s.completed >= 600; }, 60)) return 2;
   const int leader = s.leader();
   if (leader < 0) return 2;
   s.note("%llu tasks have completed, worker-%d leads", static_cast<unsigned long long>(s.completed), leader);
+  // How often at least one report waits, over two seconds; then the cut, at a moment at which one does.
+  int samples = 0, waiting = 0;
+  s.run_until(
+      [&] {
+        ++samples;
+        waiting += s.reports_waiting(leader) > 0 ? 1 : 0;
+        return false;
+      },
+      2);
+  s.note("at %d of %d looks within 2 s a report was waiting for its answer", waiting, samples);
+  s.run_until([&] { return s.reports_waiting(leader) > 0; }, 5);
   if (stand::trouble()) s.reset_workers(leader, true);
   s.run(20);
   if (stand::trouble()) s.reset_workers(leader, false);
--- a/review/stand/stand.cpp
+++ b/review/stand/stand.cpp
@@ -33,19 +33,20 @@
 
 Response reply(int status, Value body = {}) { return {status, body.is_null() ? std::string() : encode(body), 0}; }
 
-/// Returns "127.0.0.1:port" with a port that is free now.
+/// Returns "127.0.0.1:port" with a port that is free now. The ports are below those that the kernel gives to outgoing
+/// connections, so that no connection takes one while its controller is away.
 std::string free_endpoint() {
-  static std::set<int> used;
-  for (int i = 0; i < 100; ++i) {
+  static int next = 14000 + static_cast<int>((static_cast<unsigned>(getpid()) * 2654435761U) % 16000);
+  for (int i = 0; i < 18000; ++i) {
+    if (++next >= 32000) next = 14000;
     const int s = socket(AF_INET, SOCK_STREAM, 0);
     sockaddr_in at{};
     at.sin_family = AF_INET;
+    at.sin_port = htons(static_cast<std::uint16_t>(next));
     at.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    socklen_t size = sizeof at;
-    const bool bound = bind(s, reinterpret_cast<sockaddr*>(&at), size) == 0 &&
-                       getsockname(s, reinterpret_cast<sockaddr*>(&at), &size) == 0;
+    const bool bound = bind(s, reinterpret_cast<sockaddr*>(&at), sizeof at) == 0;
     close(s);
-    if (bound && used.insert(ntohs(at.sin_port)).second) return "127.0.0.1:" + std::to_string(ntohs(at.sin_port));
+    if (bound) return "127.0.0.1:" + std::to_string(next);
   }
   throw std::runtime_error("no free port");
 }
@@ -90,6 +91,7 @@
 
 Stand::Stand(Site site, const std::string& folder)
     : site_(std::move(site)), folder_(folder), rt_(20000, 4000), started_(rt_.now()) {
+  std::set_terminate([] { _exit(2); });  // the case could not run; the controllers end with this process
   rlimit files{};
   if (getrlimit(RLIMIT_NOFILE, &files) == 0) {
     files.rlim_cur = std::min<rlim_t>(files.rlim_max, 20000);
@@ -114,11 +116,11 @@
     for (int k = 0; k < n; ++k) relay_[i][k] = k == i ? "" : free_endpoint();
   }
   for (int i = 0; i < n; ++i) {
-    rt_.listen(state_[i], 20000, [this, i](const Request& r, const Responder& a) { serve_state(i, r, a); });
-    rt_.listen(cloud_[i], 20000, [this, i](const Request& r, const Responder& a) { serve_cloud(i, r, a); });
+    listen(state_[i], [this, i](const Request& r, const Responder& a) { serve_state(i, r, a); });
+    listen(cloud_[i], [this, i](const Request& r, const Responder& a) { serve_cloud(i, r, a); });
     for (int k = 0; k < n; ++k) {
       if (k == i) continue;
-      rt_.listen(relay_[i][k], 20000, [this, i, k](const Request& r, const Responder& a) {
+      listen(relay_[i][k], [this, i, k](const Request& r, const Responder& a) {
         if (links.peers.contains({std::min(i, k), std::max(i, k)})) return;
         rt_.call(peer_[k], r, from_seconds(4), [this, i, k, a](const CallResult& result) {
           if (links.peers.contains({std::min(i, k), std::max(i, k)})) return;
@@ -143,6 +145,19 @@
   if (!option("KEEP")) std::filesystem::remove_all(temp_, ignored);
 }
 
+/// Listens at the endpoint, or at another one if the port was taken meanwhile.
+void Stand::listen(std::string& endpoint, const wrenusher::net::UvRuntime::Handler& handler) {
+  for (int i = 0;; ++i) {
+    try {
+      rt_.listen(endpoint, 20000, handler);
+      return;
+    } catch (const std::runtime_error&) {
+      if (i == 20) throw;
+      endpoint = free_endpoint();
+    }
+  }
+}
+
 double Stand::now() const { return to_seconds(rt_.now() - started_); }
 
 void Stand::run(double seconds) {
@@ -524,6 +539,11 @@
   if (result != 0) pipe->close(true);
 }
 
+int Stand::reports_waiting(int node) const {
+  return static_cast<int>(std::count_if(pipes_.begin(), pipes_.end(),
+                                        [&](const Pipe* pipe) { return pipe->node == node && pipe->waits; }));
+}
+
 void Stand::reset_workers(int node, bool on) {
   if (!on) {
     resetting_.erase(node);
@@ -816,7 +836,7 @@
   w->lease_from = now();
   w->node = hosts_made_ % site_.controllers;
   w->next_report = now() + static_cast<double>(rt_.random()() % 1000) / 1000;
-  rt_.listen(w->addr, 20000, [this, name = w->host](const Request& r, const Responder& a) { serve_worker(name, r, a); });
+  listen(w->addr, [this, name = w->host](const Request& r, const Responder& a) { serve_worker(name, r, a); });
   return *(workers_[host] = std::move(w));
 }
 
--- a/review/stand/stand.hpp
+++ b/review/stand/stand.hpp
@@ -51,7 +51,7 @@
   std::vector<std::string> zones;             ///< one controller after the other takes one of them in turn
   int controllers = 3;
   double restart_s = 6;                       ///< how long an ended controller is away
-  double memory_mb = 0;                       ///< 0: the platform does not look at the memory
+  double memory_mb = 136;                     ///< a controller that holds more is ended; 0: never
   double core_share = 0.12;
   int max_sockets = 2500;
   double report_s = 3, lease_s = 24, cancel_s = 54, gang_wait_s = 30, gang_peer_s = 4;
@@ -174,6 +174,7 @@
   void start_proxy();
   /// The cut of `links.workers` that resets: connections end at once, new ones are refused.
   void reset_workers(int controller, bool on);
+  [[nodiscard]] int reports_waiting(int controller) const;  ///< passed on and not answered yet
   int connections_reset = 0;   ///< by the cut
   int reset_while_served = 0;  ///< of these, with a report at the controller that was not answered yet
 
@@ -242,6 +243,7 @@
   Value describe(Worker& w);
   Worker* find(const std::string& host);
   std::string settings(int controller) const;
+  void listen(std::string& endpoint, const wrenusher::net::UvRuntime::Handler& handler);
   struct Pipe;
   struct Port {
     Stand* stand = nullptr;
