Keep the reply to a worker's report within 64 KiB

What callers saw: eight jobs of 400 small tasks were accepted and no task ever started.

Cause: nothing bounded the number of commands in a reply (WorkerGateway::send_reply).

The leader derives the commands from each report anew, so the next replies carry the rest. A lease is renewed while the list of cancelled jobs may be incomplete only if the stops of all tasks in the report fit into the reply. The event commands_left_out makes such replies visible.

The testbed's workers now refuse responses and calls above 64 KiB, as the protocol says, and send no larger report; the checker counts each such message as a broken rule (message_too_large).

--- /dev/null
+++ b/src/worker_gateway/include/wrenusher/worker_gateway/command_limits.hpp
@@ -0,0 +1,17 @@
+#pragma once
+// Keeps messages with commands for a worker within the limits of package protocol (message_limits.hpp). The
+// limits are counts, so they hold for commands of the greatest size.
+
+#include <cstddef>
+#include <vector>
+
+#include "wrenusher/protocol/messages.hpp"
+
+namespace wrenusher::worker_gateway {
+
+/// Removes the commands that the reply to a report may not contain yet, and returns how many. The leader
+/// derives the commands from each report anew, so the replies to the next reports contain those that are
+/// still needed. If not all commands fit, stops are kept first, then forget commands, then starts.
+std::size_t limit_reply(std::vector<protocol::WorkerCommand>& commands);
+
+}  // namespace wrenusher::worker_gateway
--- a/src/worker_gateway/include/wrenusher/worker_gateway/lease_renewal_guard.hpp
+++ b/src/worker_gateway/include/wrenusher/worker_gateway/lease_renewal_guard.hpp
@@ -17,7 +17,8 @@
 /// of the cancellation.
 ///
 /// A lease is renewed only if this node has received every cancellation that was confirmed to a user longer
-/// than `max_cancellation_lag` ago. The reply that renews the lease also stops the tasks of cancelled jobs.
+/// than `max_cancellation_lag` ago. The reply that renews the lease also stops the tasks of cancelled jobs;
+/// stops are the last commands that `limit_reply` leaves out.
 ///
 /// Otherwise a cancellation may be missing, and it may concern any task. Therefore the leases of all workers
 /// with tasks are left to expire, which takes `lease_s` from the last renewal.
--- a/src/worker_gateway/include/wrenusher/worker_gateway/worker_gateway.hpp
+++ b/src/worker_gateway/include/wrenusher/worker_gateway/worker_gateway.hpp
@@ -8,6 +8,7 @@
 //   ReportOrder        distinguishes new reports from late duplicates
 //   LeaseRenewalGuard  decides which replies may renew a lease, depending on the known cancellations
 //   WorkerPoller       polls workers that have not yet reported to a new leader
+//   command_limits     keeps messages with commands within their size limit
 //   DeliveryMonitor    detects workers that do not receive their replies
 //   ListenerHealth     detects faults of this node because of which workers seem silent
 //   DepartedMachines   keeps the removed machines, whose late reports are ignored
--- a/src/worker_gateway/lease_renewal_guard.cpp
+++ b/src/worker_gateway/lease_renewal_guard.cpp
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "wrenusher/log/log.hpp"
+#include "wrenusher/protocol/message_limits.hpp"
 
 namespace wrenusher::worker_gateway {
 
@@ -73,10 +74,11 @@
 
 bool LeaseRenewalGuard::may_renew(const WorkerReport& report) const {
   if (cancellations_current()) return true;
-  // Tasks that have exited, or that the reply stops, need no lease.
-  return std::all_of(report.tasks.begin(), report.tasks.end(), [&](const TaskReport& task) {
-    return task.status == TaskStatus::exited || cancelled_.contains(task.job_id);
-  });
+  // Tasks that have exited, or that the reply stops, need no lease. All these stops must fit into the reply.
+  return report.tasks.size() <= protocol::kMaxCommandsPerMessage &&
+         std::all_of(report.tasks.begin(), report.tasks.end(), [&](const TaskReport& task) {
+           return task.status == TaskStatus::exited || cancelled_.contains(task.job_id);
+         });
 }
 
 void LeaseRenewalGuard::add_stops(const WorkerReport& report, std::vector<WorkerCommand>& commands) const {
--- a/src/worker_gateway/worker_gateway.cpp
+++ b/src/worker_gateway/worker_gateway.cpp
@@ -7,6 +7,7 @@
 #include "wrenusher/log/log.hpp"
 #include "wrenusher/protocol/messages.hpp"
 #include "wrenusher/value/value.hpp"
+#include "wrenusher/worker_gateway/command_limits.hpp"
 #include "wrenusher/worker_gateway/refusals.hpp"
 #include "wrenusher/worker_gateway/worker_calls.hpp"
 
@@ -58,6 +59,14 @@
                 [](const WorkerCommand& command) { return command.verb == WorkerCommand::Verb::start; });
 }
 
+/// Logs that a reply is without some of the worker's commands, since they do not fit into it.
+void log_left_out(const std::string& host, std::size_t commands) {
+  if (commands == 0) return;
+  log::debug("commands_left_out",
+             "{commands} commands for {machine} do not fit into this reply and follow in the next ones",
+             log::with("commands", commands), log::with("machine", host));
+}
+
 }  // namespace
 
 WorkerGateway::WorkerGateway(runtime::Runtime& runtime, const settings::Settings& settings)
@@ -198,6 +207,7 @@
   // started. The reply still renews the worker's lease.
   if (runtime_.now() >= lease_valid_until_) erase_starts(commands);
   renewal_guard_.add_stops(*report, commands);
+  log_left_out(report->host, limit_reply(commands));
   record_reply(*report, commands);
   answer({200,
           value::encode(Value::Map{{"epoch", fencing_token}, {"orders", protocol::write_commands(commands)}}),
--- a/testbed/models/include/wrenusher/testbed/checker.hpp
+++ b/testbed/models/include/wrenusher/testbed/checker.hpp
@@ -8,6 +8,7 @@
 #include <string>
 #include <vector>
 
+#include "wrenusher/protocol/message_limits.hpp"
 #include "wrenusher/protocol/messages.hpp"
 #include "wrenusher/runtime/runtime.hpp"
 #include "wrenusher/settings/settings.hpp"
@@ -66,6 +67,12 @@
   void check_agreement(const std::string& disagreement) {
     if (!disagreement.empty()) record_broken_rule("disagreement", disagreement);
   }
+  /// Checks that a message between a controller and a worker is within the size limit of the protocol. `what`
+  /// names the message, for the note.
+  void message_sent(const std::string& what, std::size_t json_bytes) {
+    if (json_bytes > kMaxBodyBytes)
+      record_broken_rule("message_too_large", what + " has " + std::to_string(json_bytes) + " bytes");
+  }
   /// Checks for conditions that exceed their time limit. To be called periodically.
   void check(Instant now);
 
--- a/testbed/models/include/wrenusher/testbed/machines.hpp
+++ b/testbed/models/include/wrenusher/testbed/machines.hpp
@@ -105,7 +105,9 @@
   void execute(Machine& m, const Value& orders);
   void start_task(Machine& m, const std::string& job_id, std::uint32_t task, std::uint64_t attempt);
   void stop_task(Task& t, Machine& m, Micros grace_period);
+  bool within_limit(const std::string& what, const Value& body);
   void report(Machine& m);
+  void try_next_node(Machine& m);
   void handle_report_answer(const std::string& host, Instant sent, std::uint64_t incarnation,
                             const CallResult& o);
   void serve_commands(const std::string& host, const Request& r, const Responder& answer);
--- a/testbed/models/machines.cpp
+++ b/testbed/models/machines.cpp
@@ -599,6 +599,10 @@
       return;
     }
     const auto v = decode(r.body);
+    if (v && !within_limit("a call to " + host, *v)) {
+      answer(malformed("the body is larger than 64 KiB"));
+      return;
+    }
     const auto fencing_token = v ? (*v)["epoch"].count() : std::nullopt;
     const auto incarnation = v ? (*v)["tenure"].count() : std::nullopt;
     if (!fencing_token || !incarnation) {
@@ -614,6 +618,13 @@
 
 // ---------------------------------------------------------------- reports
 
+/// Checks the size of a message to or from a worker. Returns false if the receiver must refuse it.
+bool Machines::within_limit(const std::string& what, const Value& body) {
+  const std::size_t bytes = body.json_size();
+  checker_.message_sent(what, bytes);
+  return bytes <= kMaxBodyBytes;
+}
+
 Value Machines::describe(Machine& m) {
   Value::List units;
   for (const Task& t : m.tasks) {
@@ -637,8 +648,14 @@
   const Instant sent = transport_.now();
   m.last_sent = sent;
   m.next_report = sent + scaled(settings_.report_interval, transport_.uniform(0.75, 1.25));
+  const Value body = describe(m);
+  if (!within_limit("a report of " + m.name, body)) {  // the controller would refuse it
+    m.reporting = false;
+    try_next_node(m);
+    return;
+  }
   transport_.send(
-      m.name, nodes_[m.node].second, {"POST", "/hello", encode(describe(m))}, from_seconds(4),
+      m.name, nodes_[m.node].second, {"POST", "/hello", encode(body)}, from_seconds(4),
       [this, host = m.name, sent, incarnation = m.incarnation, restarts = m.restarts](const CallResult& o) {
         if (const Machine* x = find(host); x != nullptr && x->restarts == restarts)
           handle_report_answer(host, sent, incarnation, o);
@@ -652,7 +669,8 @@
   const Instant now = transport_.now();
   m->reporting = false;
   if (now < m->hung_until) return;  // dropped: the answer is outdated by the time the machine resumes
-  const auto v = decode(o.response.body);
+  auto v = decode(o.response.body);
+  if (v && !within_limit("a response to " + host, *v)) v.reset();
   if (o.answered && o.response.status == 200 && v) {
     const auto fencing_token = (*v)["epoch"].count();
     if (!fencing_token || *fencing_token < m->fencing_token || incarnation != m->incarnation) return;
@@ -669,8 +687,12 @@
     m->next_report = now;
     return;
   }
-  m->node = (m->node + 1) % nodes_.size();
-  m->next_report = now + from_seconds(1);
+  try_next_node(*m);
+}
+
+void Machines::try_next_node(Machine& m) {
+  m.node = (m.node + 1) % nodes_.size();
+  m.next_report = transport_.now() + from_seconds(1);
 }
 
 }  // namespace wrenusher::testbed
