Give each topology check a settings file of its own

topology_mistake failed once in a run of the whole suite. topology_example and topology_mistake write the same settings file and run side by side, so one of them could read the file while the other had just emptied it: "settings: not valid JSON". What the tests assert is unchanged.

--- a/tests/topology_check.cmake
+++ b/tests/topology_check.cmake
@@ -1,6 +1,6 @@
 # Checks the topology with the program's --check: the example in deploy/ is valid and locates machines, and an invalid
 # topology gives exit code 2 and one line on standard error with file and line.
-set(SETTINGS ${DIR}/topology_settings.json)
+set(SETTINGS ${DIR}/topology_settings_${CASE}.json)  # one file a case, since the cases run side by side
 file(WRITE ${SETTINGS} [=[{"host_name": "n1", "zone": "a", "client_listen": "127.0.0.1:8080",
   "peer_listen": "127.0.0.1:8081", "peers": [],
   "services": {"cloud": "127.0.0.1:1", "state": "127.0.0.1:2"},
