Give a machine no more tasks than its report can list

With only the replies bounded, a worker gets a page of tasks with each reply, until its report of all of them exceeds 64 KiB; the controllers refuse such a report with 400, the worker's lease expires and it ends all its tasks.

Cause: cores, GPUs, memory and devices were the only limits on the tasks of a machine.

Change: a machine has as many task slots as a report of 64 KiB can list entries of the greatest size (406). Plans, reservations, preemption, the rental plan and the check of layouts count them beside the resources, so that work beyond them waits for other machines or has them rented. The estimate of queued work counts a task as no less than its slot. Starts in a reply also wait until the next report can list their tasks beside those that have exited and are not forgotten yet: this is decided where the reply is sent, from the report that it answers, since a report settles the reply before it.

Five new tests, each failing on the code before: two at the gateway and in whole worlds (with a change of leader and cancellations), plan and rental plan. The random comparison of PlacementIndex with the exhaustive planner now draws machines with few slots.

--- a/src/machine_inventory/machine_inventory.cpp
+++ b/src/machine_inventory/machine_inventory.cpp
@@ -143,6 +143,7 @@
   planned.runs_services = machine.use.services > 0;
   planned.free.resources = machine_type.capacity;
   planned.free.resources -= machine.use.reserved;
+  planned.free.task_slots -= machine.use.assignments;
   planned.speed = estimator_.speed(machine.name);
   planned.images = &machine.images;
   planned.fetches = fetches_of(machine);
--- a/src/placement/include/wrenusher/placement/machine_fit.hpp
+++ b/src/placement/include/wrenusher/placement/machine_fit.hpp
@@ -18,7 +18,7 @@
 std::set<std::string> fitting_machine_types(const JobSpec& spec, const Catalog& catalog);
 /// Whether the job may use the machine, regardless of free room.
 bool accepts(const PlanMachine& machine, const PlanJob& job);
-/// Returns how many tasks of the job fit, devices included, at most `limit`.
+/// Returns how many tasks of the job fit, devices and task slots included, at most `limit`.
 std::uint32_t count_fitting(const JobSpec& spec, const FreeCapacity& free, std::uint32_t limit);
 /// Returns how many more tasks the job may place in the zone, given its tasks by zone.
 std::uint32_t zone_allowance(const JobSpec& spec, const std::map<std::string, std::uint32_t>& zones,
@@ -38,6 +38,9 @@
 /// Returns the share of a machine of this type that a need takes, expressed in cores. The share is that of
 /// the dominant resource: cores, GPUs or memory.
 Amount core_equivalents(const Resources& need, const MachineType& machine_type);
+/// Returns the share of a machine of this type that one task takes, expressed in cores: that of the dominant
+/// resource, or of the machine's task slots if that is larger.
+Amount task_core_equivalents(const Resources& task, const MachineType& machine_type);
 
 // ---- finish time
 
--- a/src/placement/include/wrenusher/placement/plan_types.hpp
+++ b/src/placement/include/wrenusher/placement/plan_types.hpp
@@ -8,6 +8,7 @@
 #include <string>
 #include <vector>
 
+#include "wrenusher/protocol/message_limits.hpp"
 #include "wrenusher/protocol/messages.hpp"
 #include "wrenusher/settings/settings.hpp"
 #include "wrenusher/time/time.hpp"
@@ -84,6 +85,9 @@
 struct FreeCapacity {
   Resources resources;
   std::map<std::string, std::uint32_t> devices;
+  /// Number of further tasks that the machine's report can list. Negative if the machine has more tasks than
+  /// its report can list, which a plan never causes.
+  std::int64_t task_slots = protocol::kMaxTasksPerMachine;
   bool operator==(const FreeCapacity&) const = default;
   /// Reserves the capacity for `tasks` tasks of the job. They must fit.
   void reserve(const JobSpec& spec, std::uint32_t tasks);
--- a/src/placement/machine_fit.cpp
+++ b/src/placement/machine_fit.cpp
@@ -28,7 +28,8 @@
 }
 
 std::uint32_t count_fitting(const JobSpec& spec, const FreeCapacity& free, std::uint32_t limit) {
-  std::uint32_t count = count_fitting(spec.resources, free.resources, limit);
+  const std::int64_t slots = std::clamp<std::int64_t>(free.task_slots, 0, limit);
+  std::uint32_t count = count_fitting(spec.resources, free.resources, static_cast<std::uint32_t>(slots));
   for (const auto& [name, per_task] : spec.devices()) {
     const auto it = free.devices.find(name);
     count = std::min(count, it == free.devices.end() ? 0 : it->second / per_task);
@@ -77,11 +78,13 @@
 
 void FreeCapacity::reserve(const JobSpec& spec, std::uint32_t tasks) {
   resources -= spec.resources * tasks;
+  task_slots -= tasks;
   for (const auto& [name, count] : spec.devices()) devices[name] -= count * tasks;
 }
 
 void FreeCapacity::release(const JobSpec& spec) {
   resources += spec.resources;
+  ++task_slots;
   for (const auto& [name, count] : spec.devices()) devices[name] += count;
 }
 
@@ -102,6 +105,11 @@
   return static_cast<Amount>(largest * static_cast<double>(machine_type.capacity.cores));
 }
 
+Amount task_core_equivalents(const Resources& task, const MachineType& machine_type) {
+  return std::max(core_equivalents(task, machine_type),
+                  machine_type.capacity.cores / Amount{protocol::kMaxTasksPerMachine});
+}
+
 bool has_image(const PlanMachine& machine, const std::string& image) {
   return machine.images != nullptr && machine.images->contains(image);
 }
--- a/src/placement/placement_index.cpp
+++ b/src/placement/placement_index.cpp
@@ -132,7 +132,7 @@
     const MachineType& machine_type = *types_[constraints.fitting_types.size()].machine_type;
     constraints.fitting_types.push_back(!job.excluded_types.contains(machine_type.name) &&
                                         fits_machine_type(*job.spec, machine_type));
-    constraints.core_equivalents.push_back(core_equivalents(job.spec->resources, machine_type));
+    constraints.core_equivalents.push_back(task_core_equivalents(job.spec->resources, machine_type));
   }
 }
 
--- a/src/placement/placement_plan.cpp
+++ b/src/placement/placement_plan.cpp
@@ -82,7 +82,8 @@
       if (!covers(size, need)) continue;
       for (const std::uint32_t machine : machines) {
         ++statistics_.machines;
-        if (count_fitting(resources, current_state(machine).free.resources, 1) == 0) continue;
+        const FreeCapacity& free = current_state(machine).free;
+        if (free.task_slots <= 0 || count_fitting(resources, free.resources, 1) == 0) continue;
         has_room = true;
         if (const auto found_candidate = candidate(job, machine, wanted)) out.push_back(*found_candidate);
       }
--- a/src/placement/reservation.cpp
+++ b/src/placement/reservation.cpp
@@ -84,6 +84,7 @@
   std::sort(endings.begin(), endings.end());
   for (const Ending& ending : endings) {
     free.resources += entry.ending_tasks[ending.index].resources;
+    ++free.task_slots;
     add_fits(ending.free_in);
   }
 }
@@ -134,7 +135,7 @@
 /// becomes free, and a gang would wait until several of them end at the same time.
 void PlacementIndex::reserve_places(Slot job, std::uint32_t tasks, Micros horizon) {
   for (const Slot machine : ReservationPlanner(*this, job, tasks, horizon).run()) {
-    planned_state(machine).free = {};
+    planned_state(machine).free = {.resources = {}, .devices = {}, .task_slots = 0};
     index_free_room(machine, {});
     for (const std::uint32_t id : machines_[machine].future_place_ids)
       future_places_[id].reserved_in_plan = plan_count_;
--- a/src/protocol/include/wrenusher/protocol/messages.hpp
+++ b/src/protocol/include/wrenusher/protocol/messages.hpp
@@ -175,6 +175,8 @@
   std::vector<std::string> zones;
   bool operator==(const MachineType&) const = default;
 };
+/// Returns how many tasks with this need an empty machine of the type holds, at most `limit`.
+std::uint32_t max_tasks_on(const Resources& per_task, const MachineType& machine_type, std::uint32_t limit);
 /// Machine types by name.
 using Catalog = std::map<std::string, MachineType>;
 /// Reads the provider's machine types. Returns nullopt when a required field of any type is missing or
--- a/src/protocol/messages.cpp
+++ b/src/protocol/messages.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <charconv>
 
+#include "wrenusher/protocol/message_limits.hpp"
 #include "wrenusher/settings/settings.hpp"
 
 namespace wrenusher::protocol {
@@ -91,6 +92,10 @@
   return static_cast<std::uint32_t>(std::max<Amount>(count, 0));
 }
 
+std::uint32_t max_tasks_on(const Resources& per_task, const MachineType& machine_type, std::uint32_t limit) {
+  return count_fitting(per_task, machine_type.capacity, std::min(limit, kMaxTasksPerMachine));
+}
+
 bool JobSpec::allows(const std::string& machine_type, const std::string& machine_zone, bool spot) const {
   if (spot && !spot_allowed) return false;
   if (!zone.empty() && zone != machine_zone) return false;
--- a/src/provisioner/rental_planner.cpp
+++ b/src/provisioner/rental_planner.cpp
@@ -28,6 +28,12 @@
 struct StartingMachine {
   MachineClass machine_class;
   Resources free;
+  std::uint32_t task_slots = protocol::kMaxTasksPerMachine;
+
+  void reserve(const Resources& task, std::uint32_t tasks) {
+    free -= task * tasks;
+    task_slots -= tasks;
+  }
 };
 
 /// Cores of the existing, starting and requested machines of a type, and the work that waits for these.
@@ -141,7 +147,7 @@
   for (auto& [machine_type, backlog] : backlogs_) {
     if (!can_run_on(demand, machine_type) || total_cores <= 0) continue;
     const double task_cores =
-        from_amount(placement::core_equivalents(demand.spec.resources, input_.catalog.at(machine_type)));
+        from_amount(placement::task_core_equivalents(demand.spec.resources, input_.catalog.at(machine_type)));
     if (demand.spec.type == protocol::JobType::service) {
       backlog.cores = std::max(0.0, backlog.cores - demand.tasks * task_cores * backlog.cores / total_cores);
       continue;
@@ -178,8 +184,9 @@
     if (!demand.spec.allows(machine_class.machine_type, machine_class.zone, machine_class.spot) ||
         demand.excluded_types.contains(machine_class.machine_type) || !fits_layout(demand, machine_class))
       continue;
-    const std::uint32_t tasks = placement::count_fitting(demand.spec.resources, machine.free, unserved);
-    machine.free -= demand.spec.resources * tasks;
+    const std::uint32_t tasks =
+        placement::count_fitting(demand.spec.resources, machine.free, std::min(unserved, machine.task_slots));
+    machine.reserve(demand.spec.resources, tasks);
     unserved -= tasks;
   }
   return unserved;
@@ -199,8 +206,7 @@
   std::optional<Offer> best;
   double best_cost = std::numeric_limits<double>::infinity();
   for (const auto& [name, machine_type] : input_.catalog) {
-    const std::uint32_t tasks =
-        placement::count_fitting(demand.spec.resources, machine_type.capacity, unserved);
+    const std::uint32_t tasks = protocol::max_tasks_on(demand.spec.resources, machine_type, unserved);
     if (tasks == 0 || demand.excluded_types.contains(name)) continue;
     // A machine is charged from the start of its boot to the end of its tasks.
     const double run_seconds = to_seconds(demand.estimate);
@@ -225,7 +231,7 @@
   ++plan_.machines[offer.machine_class];
   add_cores(offer.machine_class.machine_type, 1);
   StartingMachine machine{offer.machine_class, input_.catalog.at(offer.machine_class.machine_type).capacity};
-  machine.free -= demand.spec.resources * offer.tasks;
+  machine.reserve(demand.spec.resources, offer.tasks);
   starting_.push_back(std::move(machine));
 }
 
--- a/src/topology/topology.cpp
+++ b/src/topology/topology.cpp
@@ -404,7 +404,7 @@
             std::find(spec.machine_types.begin(), spec.machine_types.end(), name) == spec.machine_types.end())
           continue;
         tasks_per_machine = std::max<std::uint64_t>(
-            tasks_per_machine, count_fitting(spec.resources, machine_type.capacity, spec.task_count));
+            tasks_per_machine, max_tasks_on(spec.resources, machine_type, spec.task_count));
       }
       const auto machines = pattern.max_machines();
       if (tasks_per_machine > 0 && !machines) return std::nullopt;
--- a/src/worker_gateway/command_limits.cpp
+++ b/src/worker_gateway/command_limits.cpp
@@ -7,7 +7,9 @@
 namespace wrenusher::worker_gateway {
 
 using protocol::kMaxCommandsPerMessage;
+using protocol::kMaxTasksPerMachine;
 using protocol::WorkerCommand;
+using protocol::WorkerReport;
 
 namespace {
 
@@ -25,17 +27,37 @@
   return 2;
 }
 
+/// Removes the last starts if the next report could not list all tasks. A report settles the reply before it,
+/// so the worker has no other tasks than those in the report and those that this reply starts.
+void limit_starts(const WorkerReport& report, std::vector<WorkerCommand>& commands) {
+  const auto count = [&](WorkerCommand::Verb verb) {
+    return static_cast<std::size_t>(std::count_if(commands.begin(), commands.end(),
+                                                  [&](const auto& command) { return command.verb == verb; }));
+  };
+  const std::size_t forgotten = std::min(count(WorkerCommand::Verb::forget), report.tasks.size());
+  const std::size_t listed = report.tasks.size() - forgotten;
+  std::size_t allowed = kMaxTasksPerMachine - std::min<std::size_t>(kMaxTasksPerMachine, listed);
+  if (count(WorkerCommand::Verb::start) <= allowed) return;
+  std::erase_if(commands, [&](const WorkerCommand& command) {
+    if (command.verb != WorkerCommand::Verb::start) return false;
+    if (allowed == 0) return true;
+    --allowed;
+    return false;
+  });
+}
+
 }  // namespace
 
-std::size_t limit_reply(std::vector<WorkerCommand>& commands) {
-  if (commands.size() <= kMaxCommandsPerMessage) return 0;
+std::size_t limit_reply(const WorkerReport& report, std::vector<WorkerCommand>& commands) {
+  const std::size_t requested = commands.size();
+  limit_starts(report, commands);
+  if (commands.size() <= kMaxCommandsPerMessage) return requested - commands.size();
   std::stable_sort(commands.begin(), commands.end(),
                    [](const WorkerCommand& left, const WorkerCommand& right) {
                      return delivery_rank(left.verb) < delivery_rank(right.verb);
                    });
-  const std::size_t removed = commands.size() - kMaxCommandsPerMessage;
   commands.resize(kMaxCommandsPerMessage);
-  return removed;
+  return requested - commands.size();
 }
 
 }  // namespace wrenusher::worker_gateway
--- a/src/worker_gateway/include/wrenusher/worker_gateway/command_limits.hpp
+++ b/src/worker_gateway/include/wrenusher/worker_gateway/command_limits.hpp
@@ -11,7 +11,8 @@
 
 /// Removes the commands that the reply to a report may not contain yet, and returns how many. The leader
 /// derives the commands from each report anew, so the replies to the next reports contain those that are
-/// still needed. If not all commands fit, stops are kept first, then forget commands, then starts.
-std::size_t limit_reply(std::vector<protocol::WorkerCommand>& commands);
+/// still needed. If not all commands fit, stops are kept first, then forget commands, then starts. Starts
+/// also wait until the worker's next report can list their tasks beside those that are still in `report`.
+std::size_t limit_reply(const protocol::WorkerReport& report, std::vector<protocol::WorkerCommand>& commands);
 
 }  // namespace wrenusher::worker_gateway
--- a/src/worker_gateway/worker_gateway.cpp
+++ b/src/worker_gateway/worker_gateway.cpp
@@ -207,7 +207,7 @@
   // started. The reply still renews the worker's lease.
   if (runtime_.now() >= lease_valid_until_) erase_starts(commands);
   renewal_guard_.add_stops(*report, commands);
-  log_left_out(report->host, limit_reply(commands));
+  log_left_out(report->host, limit_reply(*report, commands));
   record_reply(*report, commands);
   answer({200,
           value::encode(Value::Map{{"epoch", fencing_token}, {"orders", protocol::write_commands(commands)}}),
--- a/testbed/models/machines.cpp
+++ b/testbed/models/machines.cpp
@@ -185,7 +185,7 @@
     for (const Task& t : m.tasks) {
       if (!t.ended()) room -= t.job->spec.resources;
     }
-    return spec.resources.fits(room);
+    return spec.resources.fits(room) && m.tasks.size() < kMaxTasksPerMachine;
   });
 }
 
--- a/tests/message_limits_test.cpp
+++ b/tests/message_limits_test.cpp
@@ -6,7 +6,9 @@
 #include <algorithm>
 
 #include "manual_runtime.hpp"
+#include "placement_oracle.hpp"
 #include "verdict_assertions.hpp"
+#include "wrenusher/provisioner/rental_planner.hpp"
 #include "wrenusher/worker_gateway/worker_gateway.hpp"
 
 using namespace wrenusher::testbed;
@@ -14,6 +16,9 @@
 using wrenusher::runtime::ManualRuntime;
 using wrenusher::worker_gateway::WorkerGateway;
 namespace events = wrenusher::events;
+namespace placement = wrenusher::placement;
+using placement::PlanJob;
+using placement::PlanMachine;
 
 namespace {
 
@@ -88,6 +93,17 @@
   }
 };
 
+MachineType large_type() {
+  return {"large", {to_amount(64), 0, to_amount(256)}, 30, 1, 4, 1, from_seconds(20), {"a"}};
+}
+
+/// Returns a job of tasks so small that thousands of them fit a machine by cores and memory.
+JobSpec small_task_job(std::uint32_t task_count) {
+  JobSpec spec = World::job(1, task_count, 0.01, 10);
+  spec.resources.memory = to_amount(0.01);
+  return spec;
+}
+
 /// Returns how many commands with this verb the message has.
 std::size_t count_verb(const Value& message, const std::string& verb) {
   const Value::List& orders = *message["orders"].list();
@@ -127,6 +143,131 @@
   EXPECT_EQ(count_verb(reply, "run"), 0U);
 }
 
+// Guards against a machine that gets more tasks than its report can list: the controllers refuse such a
+// report, and the machine's lease expires with all its tasks.
+TEST(MessageLimitsTest, ReplyStartsNoMoreTasksThanTheNextReportCanList) {
+  GatewayFixture fixture;
+  const std::string job_id = longest_job_id();
+  const auto entry_bytes = Value(Value::Map{{"unit", task_name(job_id, 99999)},
+                                            {"try", std::uint64_t{1}},
+                                            {"status", "ended"},
+                                            {"cause", "stopped"},
+                                            {"kept", false}})
+                               .json_size() +
+                           1;
+  fixture.next_commands = commands(WorkerCommand::Verb::start, longest_job_id(), 600);
+  for (const std::uint32_t listed : {0U, 300U, 470U}) {
+    const auto [status, reply] = fixture.report({"req-1", listed});
+    EXPECT_EQ(status, 200);
+    EXPECT_LE((listed + count_verb(reply, "run")) * entry_bytes, kBodyLimit) << listed;
+    EXPECT_EQ(count_verb(reply, "run") > 0, listed <= 300) << listed;
+  }
+  // The tasks that the same reply removes from the next report make room for others.
+  fixture.next_commands = commands(WorkerCommand::Verb::forget, "req-1", 400);
+  const auto starts = commands(WorkerCommand::Verb::start, "req-2", 100);
+  fixture.next_commands.insert(fixture.next_commands.end(), starts.begin(), starts.end());
+  fixture.next_commands.resize(405);
+  EXPECT_EQ(count_verb(fixture.report({"req-1", 400, "ended"}).second, "run"), 5U);
+}
+
+// Guards against a plan that gives one machine more tasks than its report can list, also over several jobs
+// and beside the tasks that the machine has already.
+TEST(MessageLimitsTest, PlanGivesMachineNoMoreTasksThanItsReportCanList) {
+  Settings settings;
+  settings.teams = {{"blue", 0, 0, 0, 0}};
+  const MachineType type = large_type();
+  const JobSpec spec = small_task_job(300);
+  oracle::PlanningInput input;
+  input.settings = &settings;
+  for (int i = 0; i < 2; ++i) {
+    PlanMachine machine;
+    machine.name = "m-" + std::to_string(i);
+    machine.zone = "a";
+    machine.machine_type = &type;
+    machine.free.resources = type.capacity;
+    machine.free.task_slots -= i * 100;
+    input.machines.push_back({machine, {}, true});
+  }
+  for (int i = 0; i < 4; ++i) {
+    PlanJob job;
+    job.spec = &spec;
+    job.waiting = spec.task_count;
+    job.estimate = from_seconds(10);
+    input.jobs.push_back(job);
+  }
+  std::map<std::size_t, std::uint32_t> tasks_by_machine;
+  const placement::Plan plan = oracle::index_plan(input);
+  for (const auto& placement : plan.placements) tasks_by_machine[placement.machine] += placement.tasks;
+  EXPECT_EQ(tasks_by_machine[0], kMaxTasksPerMachine);
+  EXPECT_EQ(tasks_by_machine[1], kMaxTasksPerMachine - 100);
+  std::uint32_t unplaced = 0;
+  for (const auto& shortage : plan.shortages) unplaced += shortage.tasks;
+  EXPECT_EQ(unplaced, 4 * spec.task_count - tasks_by_machine[0] - tasks_by_machine[1]);
+}
+
+// Guards against tasks that wait for a machine that is not rented, because they would fit the machines that
+// are starting if their reports could list any number of tasks.
+TEST(MessageLimitsTest, RentsMachinesForAllTasksThatTheirReportsCanList) {
+  const Catalog catalog{{"large", large_type()}};
+  wrenusher::provisioner::RentedMachines::ByHost machines;
+  wrenusher::provisioner::RentalRequests::ByName requests;
+  std::vector<events::Workload::Demand> demands(2);
+  for (events::Workload::Demand& demand : demands) {
+    demand.spec = small_task_job(3 * kMaxTasksPerMachine);
+    demand.tasks = demand.spec.task_count;
+    demand.estimate = from_seconds(10);
+  }
+  const auto plan = wrenusher::provisioner::plan_rentals({.catalog = catalog,
+                                                          .machines = machines,
+                                                          .open_requests = requests,
+                                                          .demands = demands,
+                                                          .on_demand_allowed = true,
+                                                          .is_refused = [](const auto&) { return false; },
+                                                          .may_rent = [](const auto&) { return true; }});
+  std::uint32_t rented = 0;
+  for (const auto& [machine_class, count] : plan.machines) rented += count;
+  EXPECT_EQ(rented, 6U);
+}
+
+// Guards against jobs that never run: each machine has room for thousands of their tasks by cores and memory,
+// but neither the commands nor the reports of so many tasks fit into one message.
+TEST(MessageLimitsTest, JobsOfManySmallTasksRun) {
+  World world(901);
+  for (int i = 0; i < 8; ++i) {
+    SimulatedJob job;
+    job.spec = World::job(i, 400, 0.01, 10);
+    job.spec.resources.memory = to_amount(0.01);
+    job.run_time = from_seconds(10);
+    world.at(from_seconds(5), [&world, job] { world.submit(job); });
+  }
+  world.run(from_seconds(120));
+  expect_kept(world);
+  EXPECT_EQ(world.live(), 0U);
+  EXPECT_GE(world.checker.starts(), 3200U);
+}
+
+// The same across a change of leader, with half of the jobs cancelled while they run.
+TEST(MessageLimitsTest, JobsOfManySmallTasksAreCancelledAndRunAcrossFailover) {
+  for (std::uint64_t seed = 902; seed < 905; ++seed) {
+    World world(seed);
+    for (int i = 0; i < 8; ++i) {
+      SimulatedJob job;
+      job.spec = World::job(i, 400, 0.01, 20);
+      job.spec.resources.memory = to_amount(0.01);
+      job.run_time = from_seconds(20);
+      world.at(from_seconds(5), [&world, job] { world.submit(job); });
+      if (i % 2 == 0)
+        world.at(from_seconds(22), [&world, job_id = job.spec.job_id] { world.cancel(job_id); });
+    }
+    world.at(from_seconds(world.uniform(18, 24)), [&world] {
+      if (world.leader() >= 0) world.crash(world.leader(), from_seconds(3));
+    });
+    world.run(from_seconds(240));
+    EXPECT_TRUE(world.checker.broken().empty()) << seed << "\n" << notes(world).substr(0, 1500);
+    EXPECT_EQ(world.live(), 0U) << seed;
+  }
+}
+
 // Guards against a lease that is renewed by a reply in which not all stops fit, while the list of cancelled
 // jobs may be incomplete: the tasks that the reply does not stop would run on.
 TEST(MessageLimitsTest, RenewsNoLeaseWhileNotAllTasksOfCancelledJobsFitIntoTheReply) {
--- a/tests/placement_oracle.cpp
+++ b/tests/placement_oracle.cpp
@@ -109,6 +109,7 @@
     for (const FutureMachine::Place& place : places) {
       if (place.reserved || place.free_in > within) continue;
       free.resources += place.resources;
+      ++free.task_slots;
       add_fits(place.free_in);
     }
   }
@@ -132,7 +133,7 @@
   }
   for (const Fit& fit : best) {
     for (FutureMachine::Place& place : plan_state.future_machines[fit.machine].places) place.reserved = true;
-    plan_state.machines[fit.machine].free = {};
+    plan_state.machines[fit.machine].free = {.resources = {}, .devices = {}, .task_slots = 0};
   }
 }
 
@@ -290,8 +291,8 @@
     double queued = 0;
     for (const auto& [name, type_and_cores] : cores) {
       if (!can_run(*type_and_cores.first, input.jobs[item.job])) continue;
-      const double work = item.seconds * from_amount(core_equivalents(input.jobs[item.job].spec->resources,
-                                                                      *type_and_cores.first));
+      const double work = item.seconds * from_amount(task_core_equivalents(
+                                             input.jobs[item.job].spec->resources, *type_and_cores.first));
       queued_work[name] += sign * work * from_amount(type_and_cores.second) / total_cores;
       queued += queued_work[name];
     }
--- a/tests/placement_test.cpp
+++ b/tests/placement_test.cpp
@@ -628,6 +628,7 @@
             scenario.specs[static_cast<std::size_t>(pick(static_cast<int>(scenario.specs.size())))].get();
       input.ending_tasks.push_back(ending);
     }
+    if (pick(6) == 0) input.machine.free.task_slots = pick(3);
     input.open = pick(6) != 0;
     if (input.machine.free.resources.cores < 0 || input.machine.free.resources.memory < 0) input.open = false;
     if (pick(5) == 0) avoided_machines[input.machine.name] = Instant{from_seconds(490 + pick(30))};
