Split direct commands to a worker into calls of at most 64 KiB

What callers would see: the tasks of a cancelled job with many tasks on one machine go on until the worker's next report. The leader sends their stops in one call to /orders, whose body is limited to 64 KiB like every request; a worker refuses a larger one.

Change: the commands go out in as many calls as their number requires. They concern different tasks, so their order does not matter.

--- a/src/worker_gateway/command_limits.cpp
+++ b/src/worker_gateway/command_limits.cpp
@@ -60,4 +60,15 @@
   return requested - commands.size();
 }
 
+std::vector<std::vector<WorkerCommand>> split_into_calls(const std::vector<WorkerCommand>& commands) {
+  std::vector<std::vector<WorkerCommand>> calls;
+  auto rest = commands.begin();
+  do {
+    const auto count = std::min<std::ptrdiff_t>(commands.end() - rest, kMaxCommandsPerMessage);
+    calls.emplace_back(rest, rest + count);
+    rest += count;
+  } while (rest != commands.end());
+  return calls;
+}
+
 }  // namespace wrenusher::worker_gateway
--- a/src/worker_gateway/include/wrenusher/worker_gateway/command_limits.hpp
+++ b/src/worker_gateway/include/wrenusher/worker_gateway/command_limits.hpp
@@ -14,5 +14,9 @@
 /// still needed. If not all commands fit, stops are kept first, then forget commands, then starts. Starts
 /// also wait until the worker's next report can list their tasks beside those that are still in `report`.
 std::size_t limit_reply(const protocol::WorkerReport& report, std::vector<protocol::WorkerCommand>& commands);
+/// Splits the commands of a call to a worker into as many calls as their number requires, at least one. A
+/// worker that gets them in another order ends up with the same tasks: each concerns another task.
+std::vector<std::vector<protocol::WorkerCommand>> split_into_calls(
+    const std::vector<protocol::WorkerCommand>& commands);
 
 }  // namespace wrenusher::worker_gateway
--- a/src/worker_gateway/include/wrenusher/worker_gateway/worker_gateway.hpp
+++ b/src/worker_gateway/include/wrenusher/worker_gateway/worker_gateway.hpp
@@ -65,7 +65,8 @@
   void on_cancellations_known(const events::CancellationsKnown& event);
   void on_machine_departed(const events::MachineDeparted& event);
   void on_topology_activated(const events::TopologyActivated& event);
-  /// Sends the commands except `start` to the worker in a call, if the worker has reported to this leader.
+  /// Sends the commands except `start` to the worker, if the worker has reported to this leader. Usually they
+  /// fit into one call.
   void on_direct_commands(const events::DirectCommands& event);
   /// Polls the workers of the previous leader.
   void on_hints_inherited(const std::shared_ptr<const events::InheritedHints>& hints);
@@ -121,6 +122,7 @@
   void poll_about_old_report(WorkerState& worker, const protocol::WorkerReport& old_report);
   void on_old_report_poll_result(const std::string& host, std::uint64_t fencing_token,
                                  const runtime::CallResult& result);
+  void on_direct_commands_result(std::uint64_t fencing_token, const runtime::CallResult& result);
   void cordon(const std::string& host, WorkerState& worker, const char* reason) const;
 
   void tick();
--- a/src/worker_gateway/worker_gateway.cpp
+++ b/src/worker_gateway/worker_gateway.cpp
@@ -296,15 +296,20 @@
   WorkerState& worker = it->second;
   Commands commands = event.commands;
   erase_starts(commands);
-  worker.delivery.on_polled();
-  const std::uint64_t fencing_token = term_.fencing_token;
-  runtime_.call(worker.address, commands_request({fencing_token, worker.position.incarnation}, commands),
-                kDirectCommandsTimeout, [this, fencing_token](const CallResult& result) {
-                  if (!leads_term(fencing_token) || !result.answered || result.response.status != 200) return;
-                  if (auto report = read_report_body(result.response);
-                      report && report->fencing_token == fencing_token)
-                    process_call_response(std::move(*report));
-                });
+  const CallTarget target{term_.fencing_token, worker.position.incarnation};
+  for (const Commands& call : split_into_calls(commands)) {
+    worker.delivery.on_polled();
+    runtime_.call(worker.address, commands_request(target, call), kDirectCommandsTimeout,
+                  [this, target](const CallResult& result) {
+                    on_direct_commands_result(target.fencing_token, result);
+                  });
+  }
+}
+
+void WorkerGateway::on_direct_commands_result(std::uint64_t fencing_token, const CallResult& result) {
+  if (!leads_term(fencing_token) || !result.answered || result.response.status != 200) return;
+  auto report = read_report_body(result.response);
+  if (report && report->fencing_token == fencing_token) process_call_response(std::move(*report));
 }
 
 void WorkerGateway::on_hints_inherited(const std::shared_ptr<const events::InheritedHints>& hints) {
--- a/tests/message_limits_test.cpp
+++ b/tests/message_limits_test.cpp
@@ -268,6 +268,21 @@
   }
 }
 
+// Guards against a call to a worker that the worker refuses, so that the tasks of a cancelled job go on.
+TEST(MessageLimitsTest, DirectCommandsAreSplitIntoSeveralCalls) {
+  GatewayFixture fixture;
+  static_cast<void>(fixture.report({"req-1", 0}));
+  fixture.gateway.on_direct_commands({kHost, commands(WorkerCommand::Verb::stop, longest_job_id(), 1000)});
+  std::set<std::string> stopped;
+  for (const ManualRuntime::Call& call : fixture.runtime.calls) {
+    const Value body = *decode(call.request.body);
+    EXPECT_EQ(call.request.target, "/orders");
+    EXPECT_LE(body.json_size(), kBodyLimit);
+    for (const Value& order : *body["orders"].list()) stopped.insert(*order["unit"].text());
+  }
+  EXPECT_EQ(stopped.size(), 1000U);
+}
+
 // Guards against a lease that is renewed by a reply in which not all stops fit, while the list of cancelled
 // jobs may be incomplete: the tasks that the reply does not stop would run on.
 TEST(MessageLimitsTest, RenewsNoLeaseWhileNotAllTasksOfCancelledJobsFitIntoTheReply) {
