Bound the hint of a machine with many images, fetches and failures

What callers would see: every peer refuses the leader's heartbeats, since a heartbeat above 64 KiB gets 400, and the message that holds the large hint is sent again and again. HintPublisher sends a row that exceeds its limit by itself as a message of its own.

Cause: nothing bounded the lists in a machine's hint (to_hint_row).

Change: the row keeps the images used last, and the last fetches and failures, up to 22 KiB together, so that it fits into a message of 24 KiB. A hint only orders and estimates; reports show what is missing.

--- a/src/replica/hint_row.cpp
+++ b/src/replica/hint_row.cpp
@@ -3,6 +3,7 @@
 #include <xxhash.h>
 
 #include <cmath>
+#include <iterator>
 #include <utility>
 
 #include "wrenusher/protocol/messages.hpp"
@@ -24,8 +25,8 @@
 
 // Limits above which a receiver rejects a row.
 /// Limit on items in a list and on counts of machines: above the number of machines of the largest deployment
-/// (11,000). The size of a row is limited by its sender: a job's row has at most three machines (reconciler),
-/// a rental request at most fifty (PROTOCOL).
+/// (11,000). The size of a row is limited by its sender: a machine's row by the limits below, a job's row has
+/// at most three machines (reconciler), a rental request at most fifty (PROTOCOL).
 constexpr std::size_t kMaxItems = 24000;
 constexpr double kMaxSeconds = 7 * 86400;
 constexpr double kMaxGb = 1e6;
@@ -37,6 +38,26 @@
 /// A machine's slowness is published again when its value, rounded to 1/20, changes.
 constexpr double kSlownessSteps = 20;
 
+// Limits on the lists in a machine's row, in bytes of JSON. Each task on a machine may wait for an image of
+// its own and fail, and a cache may hold thousands of small images; the row must fit into one message, with
+// which a heartbeat stays within 64 KiB. What is left out is learned again from reports.
+constexpr std::size_t kMaxImageBytes = std::size_t{12} * 1024;
+constexpr std::size_t kMaxFetchBytes = std::size_t{6} * 1024;
+constexpr std::size_t kMaxFailureBytes = std::size_t{4} * 1024;
+
+/// Returns the last of the rows, in their order, that have at most `max_bytes` together.
+Value::List last_rows_within(Value::List rows, std::size_t max_bytes) {
+  std::size_t bytes = 0;
+  auto first = rows.end();
+  while (first != rows.begin()) {
+    bytes += std::prev(first)->json_size() + 1;
+    if (bytes > max_bytes) break;
+    --first;
+  }
+  rows.erase(rows.begin(), first);
+  return rows;
+}
+
 std::uint64_t digest_of(const Value& value) {
   const std::string bytes = encode(value);
   return XXH3_64bits(bytes.data(), bytes.size());
@@ -60,20 +81,19 @@
 
 HintRow to_hint_row(const MachineHint& hint) {
   Value::List images;
-  Value::List digest_names;
-  for (const auto& image : hint.images) {
-    images.emplace_back(Value::List{image.image, image.gb});
-    digest_names.emplace_back(image.image);
-  }
+  for (const auto& image : hint.images) images.emplace_back(Value::List{image.image, image.gb});
   Value::List fetches;
-  for (const auto& fetch : hint.fetches) {
+  for (const auto& fetch : hint.fetches)
     fetches.emplace_back(Value::List{fetch.image, fetch.size_gb, fetch.remaining_gb});
-    digest_names.emplace_back(fetch.image);
-  }
   Value::List failures;
-  for (const auto& failure : hint.failures) {
+  for (const auto& failure : hint.failures)
     failures.emplace_back(Value::List{failure.job_id, to_seconds(failure.ago)});
-    digest_names.emplace_back(failure.job_id);
+  images = last_rows_within(std::move(images), kMaxImageBytes);
+  fetches = last_rows_within(std::move(fetches), kMaxFetchBytes);
+  failures = last_rows_within(std::move(failures), kMaxFailureBytes);
+  Value::List digest_names;
+  for (const Value::List* rows : {&images, &fetches, &failures}) {
+    for (const Value& row : *rows) digest_names.push_back(row.list()->front());
   }
   // Fields that change constantly (the progress of a fetch, the order of image use, free capacity) are sent
   // with the row, but are not part of the digest, so their changes do not cause it to be published.
--- a/tests/message_limits_test.cpp
+++ b/tests/message_limits_test.cpp
@@ -9,6 +9,7 @@
 #include "placement_oracle.hpp"
 #include "verdict_assertions.hpp"
 #include "wrenusher/provisioner/rental_planner.hpp"
+#include "wrenusher/replica/hint_publisher.hpp"
 #include "wrenusher/worker_gateway/worker_gateway.hpp"
 
 using namespace wrenusher::testbed;
@@ -296,3 +297,30 @@
   fixture.know_cancellations();
   EXPECT_EQ(fixture.report({"req-1", 1000}).first, 200);
 }
+
+// Guards against heartbeats that every peer refuses for their size, so that the peers take the leader for
+// dead: a machine's hint names an image for each task that waits for one, and all images that it has cached.
+TEST(MessageLimitsTest, HintOfMachineWithManyImagesFitsIntoHeartbeat) {
+  events::MachineHint hint;
+  hint.host = kHost;
+  for (int i = 0; i < 4000; ++i) {
+    const std::string image = "image-" + std::to_string(100000 + i);
+    hint.images.push_back({image, 0.01});
+    hint.fetches.push_back({"fetched-" + image, 1, 0.5});
+    hint.failures.push_back({"req-" + std::to_string(100000 + i), from_seconds(5)});
+  }
+  wrenusher::replica::HintPublisher publisher;
+  const Instant now{from_seconds(100)};
+  publisher.begin(kTerm, 1, {}, {}, now);
+  publisher.on_confirmed("c1", 1, {}, now);
+  publisher.put(wrenusher::replica::to_hint_row(hint), now);
+  const Value message = publisher.next_message("c1", now);
+  EXPECT_LT(message.json_size(), std::size_t{25} * 1024);
+  ASSERT_EQ(message["rows"].list()->size(), 1U);
+  // The images used last are the ones worth knowing.
+  const auto read = wrenusher::replica::read_machine_hint(kHost, (*(*message["rows"].list())[0].list())[1]);
+  ASSERT_TRUE(read);
+  EXPECT_GT(read->images.size(), 100U);
+  EXPECT_GT(read->fetches.size(), 50U);
+  EXPECT_EQ(read->images.back().image, hint.images.back().image);
+}
