Count the conditions of a transaction when packing it

What callers would see: the state service refuses the leader's transaction with 400, which is sent again unchanged every 5 s, so that nothing is started any more. Only the conditions that existed when a value was begun were counted, at 48 bytes each; the 4 KiB that the limit of 60 KiB leaves are enough for ids as in the protocol's examples, not for the longest.

Change: every condition is counted when it is added, with the size of its key, and a block is packed only if it fits into the transaction together with its job's condition. The limit is 63 KiB, since nothing larger than the keys and field names of the changes is left out of the count.

Evidence: a test whose transaction has 67,310 bytes on the code before, more than the 64 KiB that the service takes.

--- a/src/commit_batcher/commit_batcher.cpp
+++ b/src/commit_batcher/commit_batcher.cpp
@@ -1,17 +1,22 @@
 #include "wrenusher/commit_batcher/commit_batcher.hpp"
 
 #include <algorithm>
+#include <string_view>
 #include <utility>
 
 #include "wrenusher/log/log.hpp"
+#include "wrenusher/protocol/message_limits.hpp"
 
 namespace wrenusher::commit_batcher {
 
 namespace {
 
-/// Maximum size of a transaction including its conditions; the service accepts 64 KiB.
-constexpr std::size_t kMaxTransactionBytes = std::size_t{60} * 1024;
-constexpr std::size_t kConditionBytes = 48;
+/// Maximum size of the conditions and changes of a transaction. The service accepts 64 KiB; the rest is for
+/// the keys of the changes and the names of their fields.
+constexpr std::size_t kMaxTransactionBytes = std::size_t{63} * 1024;
+/// Greatest size of a condition without its key.
+constexpr std::size_t kConditionOverheadBytes =
+    std::string_view(R"({"k":"","stamp":},)").size() + protocol::kMaxCountBytes;
 /// Estimated size of a mutation that writes a final state or deletes a record.
 constexpr std::size_t kMutationBytes = 200;
 /// Maximum number of shards written by one transaction.
@@ -34,6 +39,10 @@
 /// Time that blocks without new assignments wait for a commit that they can be added to.
 constexpr time::Micros kProgressWait = time::from_millis(400);
 
+std::size_t condition_bytes(const std::string& key) {
+  return key.size() + kConditionOverheadBytes;
+}
+
 }  // namespace
 
 void CommitBatcher::reset(std::uint64_t leader_revision) {
@@ -95,7 +104,7 @@
       break;
     const Job& job = *jobs_.find(job_id);
     if (job.needs_refresh) continue;
-    batch.conditions.push_back({records::job_key(job_id), job.mod_revision});
+    add_condition(batch, records::job_key(job_id), job.mod_revision);
     batch.mutations.push_back(
         {records::final_state_key(job_id),
          records::write_final_state(job.record.cancelled ? "withdrawn" : "done", job.done.size()), 0});
@@ -140,46 +149,61 @@
       return false;
     if (!has_new_assignments && packing.values.empty() && !packing.progress_due) return true;
     Value row = jobs_.block_row(*job, order.block);
-    const std::size_t size = row.json_size() + 1;
-    if (size > packing.room_bytes &&
-        !open_value(batch, packing, size, has_new_assignments || packing.progress_due))
-      return true;
-    packing.room_bytes -= size;
-    packing.batch_bytes += size;
+    const BlockSize size{row.json_size() + 1, new_condition_bytes(batch, *job, has_new_assignments)};
+    const bool fits =
+        size.row <= packing.room_bytes && size.row + size.condition <= transaction_room(batch, packing);
+    if (!fits && !open_value(batch, packing, size, has_new_assignments || packing.progress_due)) return true;
+    packing.room_bytes -= size.row;
+    packing.batch_bytes += size.row;
     add_block(batch, *job, order.block, has_new_assignments);
     packing.values.back().push_back(std::move(row));
   }
   return false;
 }
 
-/// Adds the value of a free shard, with room for the block. Returns false if the batch has no room for such a
-/// value, or if `may_open` is false.
-bool CommitBatcher::open_value(Batch& batch, Packing& packing, std::size_t block_bytes, bool may_open) {
+/// Returns how many bytes can still be added to the transaction, conditions included.
+std::size_t CommitBatcher::transaction_room(const Batch& batch, const Packing& packing) {
+  // Clamped at 0: an unsigned underflow of a few bytes would let the transaction grow without bound.
+  return kMaxTransactionBytes - std::min(kMaxTransactionBytes, packing.batch_bytes + batch.condition_bytes);
+}
+
+/// Returns the size of the condition that writing a block of the job adds to the batch; 0 if it adds none.
+std::size_t CommitBatcher::new_condition_bytes(const Batch& batch, const Job& job, bool has_new_assignments) {
+  const std::string& job_id = job.spec().job_id;
+  if (!has_new_assignments || batch.assigning_jobs.contains(job_id)) return 0;
+  return condition_bytes(records::job_key(job_id));
+}
+
+/// Adds the value of a free shard, with room for a block of this size. Returns false if the batch has no room
+/// for such a value, or if `may_open` is false.
+bool CommitBatcher::open_value(Batch& batch, Packing& packing, const BlockSize& block, bool may_open) {
   const auto value_limit = static_cast<std::size_t>(settings_.value_kb * 1024) - 2;
-  // The two extra conditions are those of the shard and, for an assignment, of its job. The subtractions are
-  // clamped at 0: an unsigned underflow of a few bytes would let the value grow without bound.
-  const std::size_t used_bytes = packing.batch_bytes + (batch.conditions.size() + 2) * kConditionBytes;
-  const std::size_t available_bytes =
-      std::min(value_limit, kMaxTransactionBytes - std::min(kMaxTransactionBytes, used_bytes));
-  if (packing.values.size() == packing.max_values ||
-      block_bytes + records::kShardOverheadBytes > available_bytes || !may_open)
-    return false;
+  const std::size_t value_bytes = block.row + records::kShardOverheadBytes;
+  if (!may_open || packing.values.size() == packing.max_values || value_bytes > value_limit) return false;
   const std::uint32_t shard_number = free_shard(batch.shards);
+  const std::string key = records::shard_key(shard_number);
+  const std::size_t conditions = block.condition + condition_bytes(key);
+  if (value_bytes + conditions > transaction_room(batch, packing)) return false;
   batch.shards.push_back(shard_number);
-  batch.conditions.push_back({records::shard_key(shard_number), shards_[shard_number].mod_revision});
+  add_condition(batch, key, shards_[shard_number].mod_revision);
   packing.values.emplace_back();
-  packing.room_bytes = available_bytes - std::min(available_bytes, records::kShardOverheadBytes);
+  packing.room_bytes = value_limit - records::kShardOverheadBytes;
   packing.batch_bytes += records::kShardOverheadBytes;
   return true;
 }
 
+void CommitBatcher::add_condition(Batch& batch, const std::string& key, std::uint64_t mod_revision) {
+  batch.conditions.push_back({key, mod_revision});
+  batch.condition_bytes += condition_bytes(key);
+}
+
 /// Records that the block is written to the last of the batch's shards, and adds the condition on its job.
 void CommitBatcher::add_block(Batch& batch, const Job& job, std::uint32_t block_number,
                               bool has_new_assignments) const {
   const std::string& job_id = job.spec().job_id;
   // The condition makes the commit of new assignments fail if the job was cancelled before it.
   if (has_new_assignments && batch.assigning_jobs.insert(job_id).second)
-    batch.conditions.push_back({records::job_key(job_id), job.mod_revision});
+    add_condition(batch, records::job_key(job_id), job.mod_revision);
   batch.blocks.push_back({job_id, block_number, job.blocks[block_number].version, batch.shards.back()});
 }
 
@@ -193,7 +217,7 @@
   const std::size_t writes_available = kv_client_.writes_available();
   if (writes_available < 2) return;
   Batch batch;
-  batch.conditions.push_back({"leader", leader_revision_});
+  add_condition(batch, "leader", leader_revision_);
   add_final_states(batch);
   add_blocks(batch, writes_available);
   if (batch.mutations.empty()) return;
--- a/src/commit_batcher/include/wrenusher/commit_batcher/commit_batcher.hpp
+++ b/src/commit_batcher/include/wrenusher/commit_batcher/commit_batcher.hpp
@@ -10,7 +10,7 @@
 /// it, and only a shard with a count of 0 is written. `disagreement` verifies the counts, and that exactly
 /// the blocks with a committed state are in a shard.
 ///
-/// It may depend on time, value, runtime, settings, kv_client, records and job_table.
+/// It may depend on time, value, runtime, settings, protocol, kv_client, records and job_table.
 
 #include <cstdint>
 #include <functional>
@@ -93,6 +93,7 @@
     std::vector<std::uint32_t> shards;
     std::vector<std::string> finished_jobs;
     std::vector<kv_client::Condition> conditions;
+    std::size_t condition_bytes = 0;  ///< greatest size of `conditions`
     std::vector<kv_client::Mutation> mutations;
   };
   /// The new values of the shards that a batch writes, while blocks are packed into them.
@@ -105,11 +106,19 @@
     std::size_t room_bytes = 0;   ///< left in the last of the values
     std::size_t batch_bytes = 0;  ///< size of the batch without its conditions
   };
+  /// What writing a block adds to a transaction, in bytes of JSON.
+  struct BlockSize {
+    std::size_t row = 0;        ///< in a value
+    std::size_t condition = 0;  ///< the condition on its job; 0: the transaction has it, or needs none
+  };
   void add_final_states(Batch& batch) const;
   void add_blocks(Batch& batch, std::size_t writes_available);
   Packing begin_packing(const Batch& batch, std::size_t writes_available) const;
   [[nodiscard]] bool pack_blocks(Batch& batch, Packing& packing);
-  [[nodiscard]] bool open_value(Batch& batch, Packing& packing, std::size_t block_bytes, bool may_open);
+  static std::size_t transaction_room(const Batch& batch, const Packing& packing);
+  static std::size_t new_condition_bytes(const Batch& batch, const Job& job, bool has_new_assignments);
+  [[nodiscard]] bool open_value(Batch& batch, Packing& packing, const BlockSize& block, bool may_open);
+  static void add_condition(Batch& batch, const std::string& key, std::uint64_t mod_revision);
   void add_block(Batch& batch, const Job& job, std::uint32_t block_number, bool has_new_assignments) const;
   void on_reply(const CommitReply& reply, const Batch& batch);
   void on_commit(const Batch& batch, std::uint64_t revision);
--- a/tests/message_limits_test.cpp
+++ b/tests/message_limits_test.cpp
@@ -8,6 +8,7 @@
 #include "manual_runtime.hpp"
 #include "placement_oracle.hpp"
 #include "verdict_assertions.hpp"
+#include "wrenusher/commit_batcher/commit_batcher.hpp"
 #include "wrenusher/provisioner/rental_planner.hpp"
 #include "wrenusher/replica/hint_publisher.hpp"
 #include "wrenusher/worker_gateway/worker_gateway.hpp"
@@ -324,3 +325,41 @@
   EXPECT_GT(read->fetches.size(), 50U);
   EXPECT_EQ(read->images.back().image, hint.images.back().image);
 }
+
+// Guards against a transaction that the state service refuses as too large: it would be sent again unchanged,
+// so that nothing is started any more. Large arrays fill three values, then jobs of one task, with the
+// longest ids, add a condition each.
+TEST(MessageLimitsTest, TransactionWithManyAssignmentsAndConditionsFitsIntoOneRequest) {
+  ManualRuntime runtime;
+  Settings settings = World::small_site();
+  settings.state_rps = settings.state_write_rps = 1e6;
+  settings.txn_ops = 24;
+  wrenusher::kv_client::KvClient store{runtime, settings};
+  wrenusher::estimates::Estimator estimator;
+  wrenusher::machine_inventory::MachineInventory machines{runtime, estimator};
+  wrenusher::job_table::JobTable jobs{runtime, machines};
+  wrenusher::commit_batcher::CommitBatcher batcher{runtime, settings, store, jobs};
+  jobs.reset(kTerm);
+  batcher.reset(5);
+  const auto add_job = [&](int number, std::uint32_t task_count) {
+    wrenusher::records::JobRecord record;
+    record.spec = small_task_job(task_count);
+    record.spec.job_id = "req-" + std::to_string(1000000 + number) + std::string(53, '0');
+    record.tasks_per_block = wrenusher::records::max_tasks_per_block(settings.value_kb);
+    wrenusher::job_table::Job& job = jobs.add(record.spec.job_id, record, (std::uint64_t{1} << 63U) + 1);
+    for (std::uint32_t task = 0; task < task_count; ++task)
+      jobs.assign(job, task, machines.get_or_add("m-" + std::to_string(100000 + task)), 1,
+                  wrenusher::job_table::TaskState::assigned);
+  };
+  for (int i = 0; i < 6; ++i) add_job(i, i % 2 == 0 ? 384 : 224);
+  for (int i = 6; i < 200; ++i) add_job(i, 1);
+  runtime.pass(from_seconds(1));
+  batcher.flush();
+  std::size_t transactions = 0;
+  for (const ManualRuntime::Call& call : runtime.calls) {
+    if (call.request.target != "/multi") continue;
+    ++transactions;
+    EXPECT_LE(decode(call.request.body)->json_size(), kBodyLimit);
+  }
+  EXPECT_EQ(transactions, 1U);
+}
