--- a/src/protocol/messages.cpp
+++ b/src/protocol/messages.cpp
@@ -114,7 +114,7 @@
 }
 
 bool valid_job_id(std::string_view job_id) {
-  if (!job_id.starts_with("req-") || job_id.size() < 5 || job_id.size() > 64) return false;
+  if (!job_id.starts_with("req-") || job_id.size() < 5 || job_id.size() > kMaxJobIdBytes) return false;
   return std::all_of(job_id.begin() + 4, job_id.end(),
                      [](char character) { return character >= '0' && character <= '9'; });
 }
