--- a/testbed/models/machine_state.hpp
+++ b/testbed/models/machine_state.hpp
@@ -1,10 +1,16 @@
 #pragma once
-// The state that the machine model keeps for each task, machine and gang. Private to machines.cpp.
+// The state that the machine model keeps for each task, machine and gang. Private to machines.cpp and
+// worker_messages.cpp.
 
 #include "wrenusher/testbed/machines.hpp"
 
 namespace wrenusher::testbed {
 
+/// Returns a multiple of a duration.
+inline Micros scaled(Micros duration, double factor) {
+  return Micros{static_cast<std::int64_t>(static_cast<double>(duration.count()) * factor)};
+}
+
 struct Machines::Task {
   std::string job_id;
   const SimulatedJob* job = nullptr;  ///< null if the start was refused because the job is not defined
--- a/tests/message_limits_test.cpp
+++ b/tests/message_limits_test.cpp
@@ -299,6 +299,38 @@
   EXPECT_EQ(fixture.report({"req-1", 1000}).first, 200);
 }
 
+// The testbed's worker and checker must notice messages above the limit, or the tests here would find
+// nothing.
+TEST(MessageLimitsTest, TestbedWorkerRefusesTooLargeMessages) {
+  for (const std::uint32_t commands_per_reply : {800U, 3200U}) {
+    Site site = World::default_site(World::small_site());
+    SimTransport transport(1);
+    Checker checker(site.settings);
+    Machines machines(transport, site, checker);
+    const JobSpec spec = small_task_job(4000);
+    std::uint32_t next_task = 0;
+    std::size_t largest_report = 0;
+    transport.serve_at(
+        "10.0.0.1:8080", "c0", [&](const std::string&, const Request& request, const Responder& answer) {
+          largest_report = std::max(largest_report, decode(request.body)->json_size());
+          std::vector<WorkerCommand> starts;
+          for (std::uint32_t i = 0; i < commands_per_reply; ++i)
+            starts.push_back({WorkerCommand::Verb::start, spec.job_id, next_task++, 1, Micros{0}});
+          answer({200, encode(Value::Map{{"epoch", kTerm}, {"orders", write_commands(starts)}}), 0});
+        });
+    machines.controllers({{"c0", "10.0.0.1:8080"}});
+    machines.describe({spec, {}, false});
+    checker.submitted(spec);
+    const std::string host = machines.rent("large", "a", false, Micros{0});
+    machines.start();
+    transport.run(from_seconds(5));
+    EXPECT_TRUE(checker.broken().contains("message_too_large"));
+    EXPECT_LE(largest_report, kBodyLimit);
+    // A reply of 800 commands is executed; the report of the tasks of two such replies is too large.
+    EXPECT_EQ(machines.tasks_on(host).size(), commands_per_reply == 800 ? 1600U : 0U);
+  }
+}
+
 // Guards against heartbeats that every peer refuses for their size, so that the peers take the leader for
 // dead: a machine's hint names an image for each task that waits for one, and all images that it has cached.
 TEST(MessageLimitsTest, HintOfMachineWithManyImagesFitsIntoHeartbeat) {
