Ignore SIGPIPE, so that a reset connection ends no controller

Cause: a write to such a socket raises SIGPIPE, and the program left the signal at its default. The reset is not noticed before the write, since a connection is not read while its request is in service. A log whose reader is gone raises it as well.

Change: the daemon ignores the signal from its start. The write then fails with EPIPE, and the connection's read callback closes it. All sockets and the log are covered.

--- a/apps/wrenusher/main.cpp
+++ b/apps/wrenusher/main.cpp
@@ -8,6 +8,7 @@
 #include "wrenusher/log/log.hpp"
 #include "wrenusher/net/net.hpp"
 #include "wrenusher/net/open_files.hpp"
+#include "wrenusher/net/signals.hpp"
 
 namespace {
 
@@ -39,6 +40,7 @@
 }  // namespace
 
 int main(int argc, char** argv) {
+  wrenusher::net::ignore_broken_pipes();
   CLI::App app{
       "wrenusher: a cluster scheduler. Takes jobs from users, rents machines and decides what runs where."};
   std::string config;
