Give the requests to the cloud and the reads of the catalog record a timer each

Cause: CatalogSource had one timer for both. A leader without machine types read the record at every tick, and each read moved the timer 3 s on, so that the request to the cloud was never due again.

Change: two timers, each set only by its own action. A leader without machine types now reads the record every 3 s instead of twice a second.

Other timers looked at for the same cause, in src/: next_renewal_, next_check_, both abstain_until_, next_activation_, next_collection_, next_class_collection_, expected_until_, next_workload_, next_progress_, next_wait_log_, both backoff_until_, RentalList's next_request_, rent_not_before_, on_demand_not_before_, commit_not_before_, progress_pending_since_, next_old_report_poll_at_, both next_cleanup_, not_warm_since_, next_warning_, no_reports_since_.

Evidence: a test with outages of 1, 20 and 55 s at the start: before 0 starts in each, now every job is done.

--- a/src/provisioner/include/wrenusher/provisioner/catalog_source.hpp
+++ b/src/provisioner/include/wrenusher/provisioner/catalog_source.hpp
@@ -48,7 +48,8 @@
   std::function<void(const CatalogPtr&)> on_updated_;
   CatalogPtr catalog_;
   std::string written_digest_;  ///< digest of the catalog last written in this term
-  time::Instant next_read_{};
+  time::Instant next_request_{};      ///< when the leader reads the catalog from the cloud again
+  time::Instant next_record_read_{};  ///< when the record is read again
 };
 
 }  // namespace wrenusher::provisioner
