--- a/src/provisioner/catalog_source.cpp
+++ b/src/provisioner/catalog_source.cpp
@@ -39,22 +39,24 @@
 
 void CatalogSource::begin_term() {
   written_digest_.clear();  // another leader may have written a different catalog since
-  next_request_ = next_record_read_ = services_.runtime.now();
+  next_read_ = services_.runtime.now();
 }
 
 void CatalogSource::tick() {
   const Instant now = services_.runtime.now();
-  const bool leading = services_.term.leading();
-  if (leading && now >= next_request_) request_catalog();
-  // On the leader, a catalog read from the cloud is newer than the record.
-  if ((!leading || !catalog_) && now >= next_record_read_) read_catalog_record();
+  if (services_.term.leading()) {
+    if (now >= next_read_) request_catalog();
+    if (!catalog_) read_catalog_record();
+  } else if (now >= next_read_) {
+    read_catalog_record();
+  }
 }
 
 void CatalogSource::request_catalog() {
-  next_request_ = services_.runtime.now() + kCatalogInterval;
+  next_read_ = services_.runtime.now() + kCatalogInterval;
   services_.cloud.get("/catalog", [this](const CloudReply& reply) {
     if (reply.result != CloudReply::Result::ok) {
-      next_request_ = std::min(next_request_, services_.runtime.now() + kCloudRetryInterval);
+      next_read_ = std::min(next_read_, services_.runtime.now() + kCloudRetryInterval);
       return;
     }
     if (!reply.body) return;
@@ -64,7 +66,8 @@
 }
 
 void CatalogSource::read_catalog_record() {
-  next_record_read_ = services_.runtime.now() + (catalog_ ? kCatalogInterval : kRecordRetryInterval);
+  next_read_ =
+      std::max(next_read_, services_.runtime.now() + (catalog_ ? kCatalogInterval : kRecordRetryInterval));
   services_.kv_client.get("catalog", KvClient::RequestClass::scheduling, [this](const ReadReply& reply) {
     if (reply.result != ReadReply::Result::ok) return;
     const bool leading = services_.term.leading();
--- a/src/provisioner/include/wrenusher/provisioner/catalog_source.hpp
+++ b/src/provisioner/include/wrenusher/provisioner/catalog_source.hpp
@@ -47,9 +47,8 @@
   Services services_;
   std::function<void(const CatalogPtr&)> on_updated_;
   CatalogPtr catalog_;
-  std::string written_digest_;        ///< digest of the catalog last written in this term
-  time::Instant next_request_{};      ///< when the leader reads the catalog from the cloud again
-  time::Instant next_record_read_{};  ///< when the record is read again
+  std::string written_digest_;  ///< digest of the catalog last written in this term
+  time::Instant next_read_{};
 };
 
 }  // namespace wrenusher::provisioner
