--- a/review/6/case.cpp
+++ b/review/6/case.cpp
@@ -1,111 +1,114 @@
-// The cloud has no machine left of the one type that a job allows. Another job of the same team, which fits the machines
-// that are up, must not wait for it while the team is under its limit.
-#include <algorithm>
-
+// A leader is cut off from the state service and from the other controllers; workers still reach it. A job is
+// cancelled through another controller. Once its user was told, no task of the job may be started.
 #include "workers.hpp"
 
 using namespace stand;
 
 namespace {
-constexpr double kEnd = 114;
-constexpr double kLeftWaiting = 90;
+constexpr int kMachines = 40;
+constexpr double kCutFor = 15;
 }  // namespace
 
 int main(int argc, char** argv) {
   const Arguments args = arguments(argc, argv);
-  World world(args.program, args.folder, args.record, soleil_armor());
+  World world(args.program, args.folder, args.record, fragua_libre());
   Fleet fleet(world);
-  // Without the trouble the cloud has machines, which boot in a third of the usual time.
-  fleet.boot_factor = args.trouble ? -1 : 0.33;
-  world.cloud = [&](int i, const Request& request, const Responder& respond) { fleet.serve_cloud(i, request, respond); };
-  std::vector<Machine*> up = {&fleet.add_up("korrigan", "rennes"), &fleet.add_up("korrigan", "brest")};
+  fleet.log_units(false);
+  world.cloud = [&](int i, const Request& request, const Responder& respond) {
+    fleet.serve_cloud(i, request, respond);
+  };
+  for (int i = 0; i < kMachines; ++i) fleet.add_up("colibri", "medellin");
   for (int i = 0; i < 3; ++i) world.start_controller(i);
-  Balancer balancer(world, {world.client(0), world.client(1), world.client(2)});
-  UserConnection user(world, balancer.address());
 
-  const auto job = [&](const std::string& ref, const std::string& owner, std::uint32_t units, double cores, double run_s) {
-    Job out;
-    out.ref = ref;
-    out.queue = "releves";
-    out.owner = owner;
-    out.units = units;
-    out.cores = cores;
-    out.memory_gb = 2 * cores;
-    out.bundle = "img-01";
-    out.image_gb = 0.6;
-    out.expected_s = run_s;
-    out.run_s = run_s;
-    return out;
-  };
-  // Another team's tasks keep a machine from becoming idle; 12 or 14 of its cores stay free.
-  Job stays = job("req-000100", "guichet-07", 2, 2, 200);
-  // 24 tasks of 16 cores are the team's limit of 384 cores.
-  Job blocked = job("req-000101", "guichet-01", 24, 16, 15);
-  blocked.urgency = "high";
-  blocked.queue = "correctifs";
-  blocked.flavors = Value::List{"menhir"};
-  Job waiting = job("req-000102", "guichet-01", 1, 8, 15);
-  for (const Job* each : {&stays, &blocked, &waiting}) fleet.upload(*each);
+  Job job;
+  job.ref = "req-000412";
+  job.queue = "parches";
+  job.owner = "nucleo";
+  job.urgency = "high";
+  job.units = kMachines;
+  job.cores = 8;
+  job.memory_gb = 8;
+  job.bundle = "img-01";
+  job.image_gb = 0.3;
+  job.expected_s = 35;
+  job.run_s = 35;
+  fleet.upload(job);
 
-  int accepted = 0;
-  double waiting_accepted = 0;
-  const auto submit = [&](auto&& self, const Job& each) -> void {
-    user.send("POST", "/submissions", wrenusher::value::encode(each.body()), 5, [&, self](const CallResult& result) {
-      world.record.line("user: submission " + each.ref + " -> " + status_of(result));
-      if (result.answered && (result.response.status == 201 || result.response.status == 200)) {
-        ++accepted;
-        if (&each == &waiting) waiting_accepted = world.record.seconds();
+  int cut = -1;
+  double told = 0;
+  int late_runs = 0, late_starts = 0, in_time = 0;
+  std::set<std::string> late_units;  ///< tasks sent in such answers, with their machines
+  bool accepted = false;
+  std::unique_ptr<UserConnection> user;
+  fleet.on_run = [&](const Machine& machine, const std::string& unit) {
+    const double sent = world.record.seconds() - to_seconds(world.now() - machine.last_sent);
+    const bool late = told > 0 && sent > told;
+    world.record.line("worker " + machine.host + ": run " + unit + " in the answer of " +
+                      world.name(static_cast<int>(machine.node)) + " to a report sent at " + number(sent) +
+                      (late ? ", after the user was told" : ""));
+    ++(late ? late_runs : in_time);
+    if (late) late_units.insert(machine.host + " " + unit);
+  };
+  fleet.on_start = [&](const Machine& machine, const Unit& unit) {
+    const std::string name = unit.ref + "/" + std::to_string(unit.task) + " " + std::to_string(unit.attempt);
+    if (!late_units.contains(machine.host + " " + name)) return;
+    world.record.line("task " + unit.ref + "/" + std::to_string(unit.task) + " starts on " + machine.host);
+    ++late_starts;
+  };
+  const auto withdraw = [&](auto&& self) -> void {
+    user->send("POST", "/submissions/" + job.ref + "/withdraw", {}, 2, [&, self](const CallResult& result) {
+      world.record.line("user: withdraw -> " + status_of(result));
+      if (status_of(result) == "200 withdrawn") {
+        told = world.record.seconds();
       } else {
-        world.after(1, [&, self] { self(self, each); });
+        world.after(1, [self] { self(self); });
       }
     });
   };
-  const auto poll = [&](auto&& self) -> void {
-    user.send("GET", "/submissions/" + waiting.ref, {}, 2, [&, self](const CallResult& result) {
-      world.record.line("user: poll " + waiting.ref + " -> " + status_of(result));
-      world.after(5, [self] { self(self); });
-    });
-  };
-  // What each team's tasks on machines use, from their starts and ends.
-  std::map<std::string, double> used;
-  const auto count = [&](const Machine& machine, const Unit& unit, int sign) {
-    const Job& each = unit.ref == stays.ref ? stays : unit.ref == blocked.ref ? blocked : waiting;
-    used[each.owner] += sign * each.cores;
-    world.record.line("task " + unit.ref + "/" + std::to_string(unit.task) + (sign > 0 ? " is on " : " leaves ") +
-                      machine.host + " (" + machine.flavor + "); " + each.owner + " uses " + number(used[each.owner]) +
-                      " cores");
-  };
-  fleet.on_start = [&](const Machine& machine, const Unit& unit) { count(machine, unit, 1); };
-  fleet.on_leave = [&](const Machine& machine, const Unit& unit) { count(machine, unit, -1); };
-  world.after(4, [&] { submit(submit, stays); });
-  world.after(8, [&] { submit(submit, blocked); });
-  world.after(10, [&] { submit(submit, waiting); });
-  world.after(12, [&] { poll(poll); });
-
-  constexpr double kLimit = 384;
-  double since = 0, worst = 0;
-  const auto watch = [&](auto&& self) -> void {
-    const double now = world.record.seconds();
-    const bool room = std::any_of(up.begin(), up.end(), [&](const Machine* machine) {
-      return machine->up && fleet.free_cores(*machine) >= waiting.cores;
-    });
-    const bool done = fleet.done_count(waiting.ref) == 1;
-    const bool waits = waiting_accepted > 0 && !done && !fleet.on_machine(waiting.ref) && room &&
-                       used[waiting.owner] + waiting.cores <= kLimit;
-    if (!waits) {
-      since = 0;
-    } else if (since == 0) {
-      since = now;
-    }
-    if (since > 0) worst = std::max(worst, now - since);
-    if (now > kEnd || done || worst > kLeftWaiting + 2) {
-      world.record.line(waiting.ref + " waited for " + number(worst) + " s while a machine that fits had room and its team, which uses " +
-                        number(used[waiting.owner]) + " cores, was under its limit of " + number(kLimit));
-      world.finish(accepted < 3 ? 2 : worst > kLeftWaiting ? 1 : 0);
+  // The cut begins when the leader has written the job's assignments.
+  world.state().on_saved = [&](const wrenusher::testbed::WriteBatch& batch) {
+    if (cut >= 0 || !accepted) return;
+    for (const auto& put : batch.puts) {
+      if (!put.key.starts_with("claims/")) continue;
+      cut = world.leader();
+      world.record.line("the leader, " + world.name(cut) + ", has written the assignments");
+      world.after(0.02, [&] {
+        if (args.trouble) {
+          world.record.line(world.name(cut) + " is cut off from the state service and the other controllers");
+          const auto hold = [&](bool on) {
+            world.state_link(cut).hold(on);
+            for (int k = 0; k < 3; ++k) {
+              if (k == cut) continue;
+              world.peer_link(cut, k).hold(on);
+              world.peer_link(k, cut).hold(on);
+            }
+          };
+          hold(true);
+          world.after(kCutFor, [&, hold] {
+            world.record.line("the cut ends");
+            hold(false);
+          });
+        }
+        withdraw(withdraw);
+      });
       return;
     }
-    world.after(0.1, [self] { self(self); });
   };
-  watch(watch);
+  world.after(12, [&] {
+    const int leader = world.leader();
+    if (leader < 0) return;
+    user = std::make_unique<UserConnection>(world, world.client((leader + 1) % 3));
+    user->send(
+        "POST", "/submissions", wrenusher::value::encode(job.body()), 5,
+        [&](const CallResult& result) { world.record.line("user: submission -> " + status_of(result)); });
+    accepted = true;
+  });
+  world.after(45, [&] {
+    world.record.line("told at " + number(told) + "; " + std::to_string(in_time) +
+                      " tasks were sent before, " + std::to_string(late_runs) +
+                      " in answers to reports sent after the user was told; " + std::to_string(late_starts) +
+                      " of these started");
+    world.finish(cut < 0 || told == 0 ? 2 : late_starts > 0 ? 1 : 0);
+  });
   return world.run();
 }
