--- a/review/stand-2/stand.cpp
+++ b/review/stand-2/stand.cpp
@@ -54,9 +54,13 @@
   return text;
 }
 
-double Record::seconds() const { return static_cast<double>(uv_hrtime() - start_) / 1e9; }
+double Record::seconds() const {
+  return static_cast<double>(uv_hrtime() - start_) / 1e9;
+}
 
-void Record::line(const std::string& text) { out_ << number(seconds()) << ' ' << text << std::endl; }
+void Record::line(const std::string& text) {
+  out_ << number(seconds()) << ' ' << text << std::endl;
+}
 
 std::string text_of(const Value& value, const char* field) {
   const std::string* text = value[field].text();
@@ -133,6 +137,25 @@
   return site;
 }
 
+Site fragua_libre() {
+  Site site;
+  site.zones = {"medellin"};
+  site.teams = {{{"name", "nucleo"}, {"cpus", 0.0}, {"cpus_max", 0.0}, {"gpus", 0.0}, {"gpus_max", 0.0}}};
+  site.report_s = 3;
+  site.lease_s = 24;
+  site.cancel_s = 54;
+  site.state_write_rps = 30;
+  site.txn_ops = 24;
+  site.cloud_rps = 3;
+  site.list_lag_s = 10;
+  site.max_sockets = 2500;
+  site.memory_mb = 136;
+  site.core_share = 0.12;
+  site.flavors = {{"colibri", 8, 0, 16, 40, 0.6, 0.38, 0.12, 40, {"medellin"}},
+                  {"condor", 64, 0, 512, 40, 0.3, 3.72, 1.15, 20, {"medellin"}}};
+  return site;
+}
+
 // ---------------------------------------------------------------- relay
 
 /// Two connected sockets. Bytes read on one are written to the other.
@@ -185,7 +208,8 @@
             from->link->close(size != UV_EOF);
             return;
           }
-          from->link->write(from->link->other(*from), std::string(buffer->base, static_cast<std::size_t>(size)));
+          from->link->write(from->link->other(*from),
+                            std::string(buffer->base, static_cast<std::size_t>(size)));
         });
   }
 
@@ -222,24 +246,26 @@
   void start() {
     const sockaddr_in address = parse(to);
     connect.data = this;
-    const int result =
-        uv_tcp_connect(&connect, &far.tcp, reinterpret_cast<const sockaddr*>(&address), [](uv_connect_t* request, int status) {
-          auto* link = static_cast<Link*>(request->data);
-          if (link->closing) return;
-          if (status != 0) {
-            link->close(true);
-            return;
-          }
-          link->far.connected = true;
-          uv_tcp_nodelay(&link->far.tcp, 1);
-          if (!link->far.unsent.empty()) link->write(link->far, std::exchange(link->far.unsent, {}));
-          if (!link->relay->holding_) link->set_reading(true);
-        });
+    const int result = uv_tcp_connect(&connect, &far.tcp, reinterpret_cast<const sockaddr*>(&address),
+                                      [](uv_connect_t* request, int status) {
+                                        auto* link = static_cast<Link*>(request->data);
+                                        if (link->closing) return;
+                                        if (status != 0) {
+                                          link->close(true);
+                                          return;
+                                        }
+                                        link->far.connected = true;
+                                        uv_tcp_nodelay(&link->far.tcp, 1);
+                                        if (!link->far.unsent.empty())
+                                          link->write(link->far, std::exchange(link->far.unsent, {}));
+                                        if (!link->relay->holding_) link->set_reading(true);
+                                      });
     if (result != 0) close(true);
   }
 };
 
-Relay::Relay(uv_loop_t* loop, Choose choose) : loop_(loop), choose_(std::move(choose)), address_(free_address()) {
+Relay::Relay(uv_loop_t* loop, Choose choose)
+    : loop_(loop), choose_(std::move(choose)), address_(free_address()) {
   uv_tcp_init(loop_, &listener_);
   listener_.data = this;
   const sockaddr_in address = parse(address_);
@@ -262,7 +288,8 @@
     ++link->open_handles;
   }
   links_.insert(link);
-  if (uv_accept(reinterpret_cast<uv_stream_t*>(&listener_), reinterpret_cast<uv_stream_t*>(&link->near.tcp)) != 0) {
+  if (uv_accept(reinterpret_cast<uv_stream_t*>(&listener_),
+                reinterpret_cast<uv_stream_t*>(&link->near.tcp)) != 0) {
     link->close(false);
     return;
   }
@@ -291,7 +318,8 @@
 }
 
 int Relay::open(const Endpoint& to) const {
-  return static_cast<int>(std::count_if(links_.begin(), links_.end(), [&](const Link* link) { return link->to == to; }));
+  return static_cast<int>(
+      std::count_if(links_.begin(), links_.end(), [&](const Link* link) { return link->to == to; }));
 }
 
 // ---------------------------------------------------------------- balancer
@@ -321,7 +349,8 @@
   if (node.healthy) {
     if (!last_two(false) && std::count(node.probes.begin(), node.probes.end(), false) < 3) return;
     node.healthy = false;
-    node.pause = now - node.removed < from_seconds(120) ? std::min(node.pause * 2, from_seconds(60)) : from_seconds(3);
+    node.pause =
+        now - node.removed < from_seconds(120) ? std::min(node.pause * 2, from_seconds(60)) : from_seconds(3);
     node.removed = now;
     node.removed_until = now + node.pause;
     node.probes.clear();
@@ -343,13 +372,15 @@
 Endpoint Balancer::choose() const {
   const Node* best = nullptr;
   for (const Node& node : nodes_) {
-    if (node.healthy && (best == nullptr || relay_.open(node.address) < relay_.open(best->address))) best = &node;
+    if (node.healthy && (best == nullptr || relay_.open(node.address) < relay_.open(best->address)))
+      best = &node;
   }
   return best == nullptr ? Endpoint() : best->address;
 }
 
 UserConnection::UserConnection(World& world, const Endpoint& to) : world_(world), to_(to) {
-  // The runtime keeps its connections by the text of the address: leading zeros of the port make this user's own.
+  // The runtime keeps its connections by the text of the address: leading zeros of the port make this user's
+  // own.
   static int users = 0;
   const auto colon = to_.rfind(':');
   to_.insert(colon + 1, std::string(static_cast<std::size_t>(++users), '0'));
@@ -363,12 +394,15 @@
 // ---------------------------------------------------------------- world
 
 World::World(std::string program, std::string folder, const std::string& record_file, Site chosen_site)
-    : record(record_file), site(std::move(chosen_site)), program_(std::move(program)), folder_(std::move(folder)) {
+    : record(record_file),
+      site(std::move(chosen_site)),
+      program_(std::move(program)),
+      folder_(std::move(folder)) {
   wrenusher::net::ignore_broken_pipes();
   wrenusher::net::raise_open_file_limit(8000);
   wrenusher::testbed::KvLimits limits{site.state_rps, site.state_write_rps, site.value_kb, site.txn_ops};
-  state_ = std::make_unique<wrenusher::testbed::KvService>(*this, limits,
-                                                           std::make_unique<wrenusher::testbed::MemoryStorage>());
+  state_ = std::make_unique<wrenusher::testbed::KvService>(
+      *this, limits, std::make_unique<wrenusher::testbed::MemoryStorage>());
   constexpr int kControllers = 3;
   pids_.resize(kControllers);
   for (int i = 0; i < kControllers; ++i) {
@@ -378,7 +412,8 @@
     runtime.listen(state_address, 10000, [this, i](const Request& request, const Responder& respond) {
       state_->serve(name(i), request, respond);
     });
-    state_links_.push_back(std::make_unique<Relay>(runtime.loop(), [state_address] { return state_address; }));
+    state_links_.push_back(
+        std::make_unique<Relay>(runtime.loop(), [state_address] { return state_address; }));
     cloud_.push_back(free_address());
     runtime.listen(cloud_.back(), 10000, [this, i](const Request& request, const Responder& respond) {
       if (cloud) {
@@ -409,7 +444,8 @@
     json peers = json::array();
     for (int k = 0; k < static_cast<int>(pids_.size()); ++k) {
       if (k != i)
-        peers.push_back({{"host_name", name(k)}, {"zone", zone(k)}, {"peer_addr", peer_link(i, k).address()}});
+        peers.push_back(
+            {{"host_name", name(k)}, {"zone", zone(k)}, {"peer_addr", peer_link(i, k).address()}});
     }
     const json settings = {
         {"host_name", name(i)},
@@ -436,7 +472,9 @@
             {"txn_ops", site.txn_ops}}},
           {"cloud", {{"rps", site.cloud_rps}, {"list_lag_s", site.list_lag_s}}},
           {"limits",
-           {{"core_share", site.core_share}, {"memory_mb", site.memory_mb}, {"max_sockets", site.max_sockets}}},
+           {{"core_share", site.core_share},
+            {"memory_mb", site.memory_mb},
+            {"max_sockets", site.max_sockets}}},
           {"clock_error_ms", site.clock_error_ms}}}};
     std::ofstream(folder_ + "/" + name(i) + ".json") << settings.dump(2) << '\n';
   }
@@ -490,7 +528,8 @@
         pid_t& pid = world->pids_[i];
         if (pid > 0 && waitpid(pid, &status, WNOHANG) == pid) {
           pid = 0;
-          world->record.line(world->name(static_cast<int>(i)) + " has ended by itself, wait status " + std::to_string(status));
+          world->record.line(world->name(static_cast<int>(i)) + " has ended by itself, wait status " +
+                             std::to_string(status));
         }
       }
       world->after(0.2, *this);
--- a/review/stand-2/stand.hpp
+++ b/review/stand-2/stand.hpp
@@ -1,8 +1,8 @@
 #pragma once
-// Stand-ins of the second review: everything that three controllers talk to, on loopback and the real clock. One case
-// program holds the state service (the testbed's model), a cloud, workers, users with their load balancer, and relays
-// that stand for the network between two parties; the controllers are real processes, started with the deploy file's
-// command.
+// Stand-ins of the second review: everything that three controllers talk to, on loopback and the real clock.
+// One case program holds the state service (the testbed's model), a cloud, workers, users with their load
+// balancer, and relays that stand for the network between two parties; the controllers are real processes,
+// started with the deploy file's command.
 
 #include <sys/types.h>
 #include <uv.h>
@@ -12,12 +12,11 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <nlohmann/json.hpp>
 #include <set>
 #include <string>
 #include <vector>
 
-#include <nlohmann/json.hpp>
-
 #include "wrenusher/net/net.hpp"
 #include "wrenusher/testbed/kv_service.hpp"
 #include "wrenusher/value/value.hpp"
@@ -89,9 +88,11 @@
 };
 Site soleil_armor();
 Site ciel_armor();
+Site fragua_libre();
 
-/// A relay: accepts TCP connections and passes their bytes on. While it holds, no byte passes in either direction and
-/// connections get no answer, like a link whose packets are held back; afterwards they are delivered in order.
+/// A relay: accepts TCP connections and passes their bytes on. While it holds, no byte passes in either
+/// direction and connections get no answer, like a link whose packets are held back; afterwards they are
+/// delivered in order.
 class Relay {
  public:
   using Choose = std::function<Endpoint()>;
@@ -220,7 +221,8 @@
 std::string text_of(const Value& value, const char* field);
 std::string number(double value);
 
-/// Reads the arguments of a case: PROGRAM FOLDER RECORD; the environment's TROUBLE=0 leaves the disruption out.
+/// Reads the arguments of a case: PROGRAM FOLDER RECORD; the environment's TROUBLE=0 leaves the disruption
+/// out.
 struct Arguments {
   std::string program;
   std::string folder;
