--- a/review/stand-2/workers.cpp
+++ b/review/stand-2/workers.cpp
@@ -13,7 +13,9 @@
 
 namespace {
 
-std::string unit_name(const std::string& ref, std::uint32_t task) { return ref + "/" + std::to_string(task); }
+std::string unit_name(const std::string& ref, std::uint32_t task) {
+  return ref + "/" + std::to_string(task);
+}
 
 std::string unit_key(const std::string& ref, std::uint32_t task, std::uint64_t attempt) {
   return unit_name(ref, task) + " " + std::to_string(attempt);
@@ -70,9 +72,10 @@
   machine.rented = world_.now();
   machine.node = static_cast<std::size_t>(created_) % world_.controllers();
   machines_[machine.host] = std::move(owned);
-  world_.runtime.listen(machine.address, 10000, [this, &machine](const Request& request, const Responder& respond) {
-    serve_worker(machine, request, respond);
-  });
+  world_.runtime.listen(machine.address, 10000,
+                        [this, &machine](const Request& request, const Responder& respond) {
+                          serve_worker(machine, request, respond);
+                        });
   boot(machine);
   return machine;
 }
@@ -118,7 +121,8 @@
         if (flavor.name == flavor_name) boot_s = flavor.boot_s * boot_factor;
       }
       for (std::uint64_t n = (*body)["count"].count().value_or(0); n > 0; --n) {
-        Machine& machine = add_up(flavor_name, text_of(*body, "site"), (*body)["standby"].boolean().value_or(false));
+        Machine& machine =
+            add_up(flavor_name, text_of(*body, "site"), (*body)["standby"].boolean().value_or(false));
         machine.up = false;
         world_.after(boot_s, [this, &machine] {
           if (!machine.gone) boot(machine);
@@ -172,9 +176,9 @@
     if (!unit.cause.empty()) row.emplace_back("cause", unit.cause);
     units.emplace_back(std::move(row));
   }
-  return Value::Map{{"host", machine.host},       {"addr", machine.address},     {"flavor", machine.flavor},
-                    {"site", machine.zone},       {"standby", machine.standby},  {"tenure", machine.tenure},
-                    {"serial", ++machine.serial}, {"epoch", machine.epoch},      {"warning_s", nullptr},
+  return Value::Map{{"host", machine.host},       {"addr", machine.address},    {"flavor", machine.flavor},
+                    {"site", machine.zone},       {"standby", machine.standby}, {"tenure", machine.tenure},
+                    {"serial", ++machine.serial}, {"epoch", machine.epoch},     {"warning_s", nullptr},
                     {"units", std::move(units)}};
 }
 
@@ -258,7 +262,8 @@
 
 void Fleet::check_lease(Machine& machine) {
   if (!machine.up || to_seconds(world_.now() - machine.lease_from) <= world_.site.lease_s) return;
-  world_.record.line("worker " + machine.host + ": lease expired, session " + std::to_string(machine.tenure + 1) + " begins");
+  world_.record.line("worker " + machine.host + ": lease expired, session " +
+                     std::to_string(machine.tenure + 1) + " begins");
   drop_units(machine);
   ++machine.tenure;
   machine.lease_from = world_.now();
@@ -315,6 +320,7 @@
     const std::uint64_t attempt = order["try"].count().value_or(0);
     const std::string key = unit_key(ref, task, attempt);
     if (log_units_) world_.record.line("worker " + machine.host + ": " + verb + " " + key);
+    if (verb == "run" && on_run && !machine.units.contains(key)) on_run(machine, key);
     if (verb == "run") {
       run(machine, ref, task, attempt);
     } else if (const auto it = machine.units.find(key); it != machine.units.end()) {
@@ -356,11 +362,12 @@
     if (flavor.name == machine.flavor) rate = flavor.pull_gb_per_s;
   }
   const std::uint64_t tenure = machine.tenure;
-  world_.after(job->second.image_gb / (rate * pull_factor), [this, &machine, key, tenure, bundle = job->second.bundle] {
-    if (!machine.up || machine.tenure != tenure) return;
-    machine.images[bundle] = 1;
-    has_image(machine, key);
-  });
+  world_.after(job->second.image_gb / (rate * pull_factor),
+               [this, &machine, key, tenure, bundle = job->second.bundle] {
+                 if (!machine.up || machine.tenure != tenure) return;
+                 machine.images[bundle] = 1;
+                 has_image(machine, key);
+               });
 }
 
 void Fleet::has_image(Machine& machine, const std::string& key) {
@@ -385,7 +392,8 @@
   const std::uint64_t tenure = machine.tenure;
   world_.after(world_.site.gang_wait_s, [this, &machine, key, tenure] {
     const auto waiting = machine.units.find(key);
-    if (machine.tenure != tenure || waiting == machine.units.end() || waiting->second.status != "gathering") return;
+    if (machine.tenure != tenure || waiting == machine.units.end() || waiting->second.status != "gathering")
+      return;
     end(machine, waiting->second, "alone");
   });
   check_gang(unit.ref, unit.attempt);
@@ -441,7 +449,9 @@
   const double run_s = job.run_of ? job.run_of(unit.task) : job.run_s;
   world_.after(run_s, [this, &machine, key, tenure] {
     const auto it = machine.units.find(key);
-    if (!machine.up || machine.tenure != tenure || it == machine.units.end() || it->second.status != "running") return;
+    if (!machine.up || machine.tenure != tenure || it == machine.units.end() ||
+        it->second.status != "running")
+      return;
     end(machine, it->second, "done");
   });
 }
--- a/review/stand-2/workers.hpp
+++ b/review/stand-2/workers.hpp
@@ -21,8 +21,8 @@
   Value flavors;
   double expected_s = 10;
   bool scatter = false;
-  double due_s = 0;  ///< 0: null
-  double run_s = 10;  ///< run time of a task; not sent
+  double due_s = 0;                                  ///< 0: null
+  double run_s = 10;                                 ///< run time of a task; not sent
   std::function<double(std::uint32_t task)> run_of;  ///< if set: run time by task
   Value body() const;
 };
@@ -53,7 +53,7 @@
   std::uint64_t tenure = 1;
   std::uint64_t serial = 0;
   std::uint64_t epoch = 0;
-  std::map<std::string, Unit> units;  ///< by "ref/task try"
+  std::map<std::string, Unit> units;     ///< by "ref/task try"
   std::map<std::string, double> images;  ///< cached: name -> GB
   std::size_t node = 0;
   bool in_flight = false;
@@ -73,7 +73,8 @@
   void upload(const Job& job) { jobs_[job.ref] = job; }
   /// Serves the cloud's interface; pass to World::cloud.
   void serve_cloud(int controller, const Request& request, const Responder& respond);
-  /// How long a rented machine boots, as a multiple of its type's boot time; negative: the cloud has no capacity.
+  /// How long a rented machine boots, as a multiple of its type's boot time; negative: the cloud has no
+  /// capacity.
   double boot_factor = -1;
   /// How fast images are fetched, as a multiple of the type's rate.
   double pull_factor = 1;
@@ -82,6 +83,8 @@
   std::function<void(const Machine&, const Unit&)> on_start;
   std::function<void(const Machine&, const Unit&)> on_leave;
   std::function<void(const Machine&, const Unit&)> on_done;
+  /// Called when a worker accepts a command to run a task, which comes in the answer to its last report.
+  std::function<void(const Machine&, const std::string& unit)> on_run;
 
   std::map<std::string, std::unique_ptr<Machine>>& machines() { return machines_; }
   std::uint64_t done_count(const std::string& ref) const;
