--- a/review/4/case.cpp
+++ b/review/4/case.cpp
@@ -13,7 +13,9 @@
   World world(args.program, args.folder, args.record, ciel_armor());
   Fleet fleet(world);
   fleet.log_units(false);
-  world.cloud = [&](int i, const Request& request, const Responder& respond) { fleet.serve_cloud(i, request, respond); };
+  world.cloud = [&](int i, const Request& request, const Responder& respond) {
+    fleet.serve_cloud(i, request, respond);
+  };
   for (int i = 0; i < kMachines; ++i)
     fleet.add_up("dolmen-48", i < 55 ? "lorient" : i < 132 ? "vannes" : "quimper");
   for (int i = 0; i < 3; ++i) world.start_controller(i);
@@ -38,24 +40,29 @@
   double accepted = 0, ended = 0, told = 0;
   const auto poll = [&](auto&& self) -> void {
     user.send("GET", "/submissions/" + job.ref, {}, 2, [&, self](const CallResult& result) {
-      world.record.line("user: poll -> " + status_of(result) + "; " + std::to_string(fleet.done_count(job.ref)) + " tasks have ended");
+      world.record.line("user: poll -> " + status_of(result) + "; " +
+                        std::to_string(fleet.done_count(job.ref)) + " tasks have ended");
       if (status_of(result) == "200 done" && told == 0) {
         told = world.record.seconds();
-        if (ended == 0) { world.record.line("BROKEN not_done"); }
+        if (ended == 0) {
+          world.record.line("BROKEN not_done");
+        }
       }
       world.after(5, [self] { self(self); });
     });
   };
   const auto submit = [&](auto&& self) -> void {
-    user.send("POST", "/submissions", wrenusher::value::encode(job.body()), 5, [&, self](const CallResult& result) {
-      world.record.line("user: submission of " + std::to_string(kUnits) + " tasks (" + job.shape + ") -> " + status_of(result));
-      if (result.answered && (result.response.status == 201 || result.response.status == 200)) {
-        accepted = world.record.seconds();
-        poll(poll);
-      } else {
-        world.after(1, [self] { self(self); });
-      }
-    });
+    user.send("POST", "/submissions", wrenusher::value::encode(job.body()), 5,
+              [&, self](const CallResult& result) {
+                world.record.line("user: submission of " + std::to_string(kUnits) + " tasks (" + job.shape +
+                                  ") -> " + status_of(result));
+                if (result.answered && (result.response.status == 201 || result.response.status == 200)) {
+                  accepted = world.record.seconds();
+                  poll(poll);
+                } else {
+                  world.after(1, [self] { self(self); });
+                }
+              });
   };
   world.after(7, [&] { submit(submit); });
 
@@ -82,11 +89,13 @@
     }
     const double now = world.record.seconds();
     if (now > 108 || (told > 0 && now > told + 3)) {
-      world.record.line("accepted at " + number(accepted) + ", last task ended at " + number(ended) + ", done told at " + number(told));
+      world.record.line("accepted at " + number(accepted) + ", last task ended at " + number(ended) +
+                        ", done told at " + number(told));
       double worst = 0;
       for (int i = 0; i < 3; ++i) {
         worst = std::max(worst, longest[i]);
-        world.record.line(world.name(i) + (world.runs(i) ? " runs" : " has ended") + "; longest time without any answer " + number(longest[i]) + " s");
+        world.record.line(world.name(i) + (world.runs(i) ? " runs" : " has ended") +
+                          "; longest time without any answer " + number(longest[i]) + " s");
       }
       world.finish(accepted == 0 || ended == 0 ? 2 : worst > world.site.lease_s || told == 0 ? 1 : 0);
       return;
