Start no task once its job's cancellation is confirmed by any controller

What callers saw: a leader is cut off from the state service and the other controllers, while workers still reach it.

Cause: the only bound on how old a leader's list of cancellations may be when it starts a task was its lease, valid for up to 3.8 s after its last renewal; a node confirms a cancellation 0.6 s after it announced it to a peer that does not answer. Nothing related the two times.

Change: starts are sent only while the list of cancellations is complete up to 550 ms ago, by the peers' heartbeats or by one read of the state service that serves all waiting replies (LeaseRenewalGuard::may_start, LeaderActor::on_cancellations_needed). A node confirms a cancellation once every peer has confirmed the announcement, or 600 ms after announcing it; that it observed the cancellation by its watch 1.55 s ago is no longer enough. An announcement no longer overtakes the cancellations before it in heartbeats. The confirmation of a cancellation waits no longer than before.

--- a/src/controller/controller.cpp
+++ b/src/controller/controller.cpp
@@ -114,6 +114,7 @@
 /// Connects the events about workers and their reachability.
 void Controller::connect_workers() {
   connect(worker_gateway_.worker_reported, leader_, &LeaderActor::on_report);
+  connect(worker_gateway_.cancellations_needed, leader_, &LeaderActor::on_cancellations_needed);
   connect(worker_gateway_.machines_suspected, leader_, &LeaderActor::on_machines_suspected);
   connect(worker_gateway_.worker_silent, leader_, &LeaderActor::on_worker_silent);
   connect(worker_gateway_.worker_silent, provisioner_, &Provisioner::on_worker_silent);
--- a/src/events/include/wrenusher/events/jobs.hpp
+++ b/src/events/include/wrenusher/events/jobs.hpp
@@ -12,6 +12,11 @@
 
 namespace wrenusher::events {
 
+/// Maximum age of what a node knows about a job when it reports the job as live or starts one of its tasks. A
+/// node that does not reach all of its peers confirms a cancellation only when it has been announced for
+/// longer than this.
+inline constexpr time::Micros kMaxLiveAge = time::from_millis(550);
+
 /// The job is cancelled: a node is about to confirm the cancellation to a user, or the state service has
 /// recorded it. Sent before the response to the user.
 struct JobCancelled {
@@ -65,6 +70,9 @@
   std::string slowest_peer;  ///< the peer whose cancellations are known up to the earliest time; empty: none
 };
 
+/// The worker gateway holds start commands back until this node has a newer list of cancellations.
+struct CancellationsNeeded {};
+
 /// Task counts of the live jobs as last published by the leader. For display only.
 struct Progress {
   /// The task counts of one job.
--- a/src/job_api/consistent_responder.cpp
+++ b/src/job_api/consistent_responder.cpp
@@ -71,7 +71,8 @@
   // first to report it, if the answer to the cancellation was lost. A job that has ended has no tasks left.
   const bool cancelled = pending.state.status == kStatusCancelled && !lookup_.has_final_state(job_id);
   if (cancelled) events_.job_cancelled(events::JobCancelled{job_id});
-  const Instant answer_from = consistency_.earliest_answer_at(job_id, stage, now);
+  const Instant answer_from = cancelled ? consistency_.earliest_cancellation_at(job_id, now)
+                                        : consistency_.earliest_answer_at(job_id, stage, now);
   if (answer_from > now) {
     auto& waiting = pending_answers_[{job_id, stage}];
     waiting.push_back(pending);
--- a/src/job_api/include/wrenusher/job_api/read_consistency.hpp
+++ b/src/job_api/include/wrenusher/job_api/read_consistency.hpp
@@ -34,7 +34,7 @@
   /// Maximum time between the request to the key-value store and the answer that a job is live. An older read
   /// may still be used if all announcements that peers made up to this long ago have been received;
   /// heartbeats, which carry them, are sent twice per second.
-  static constexpr Micros kMaxLiveAge = time::from_millis(550);
+  static constexpr Micros kMaxLiveAge = events::kMaxLiveAge;
   /// Replies of the key-value store that take longer are discarded, see KvClient.
   static constexpr Micros kMaxReplyAge = kv_client::KvClient::kMaxReplyAge;
   /// Maximum drift between the clocks of two nodes over each of these periods.
@@ -62,6 +62,10 @@
   /// now or has announced it before. From that time on, no other node reports an earlier stage. Returns `now`
   /// if the stage may be reported at once.
   [[nodiscard]] Instant earliest_answer_at(const std::string& job_id, JobStage stage, Instant now) const;
+  /// Returns the earliest time at which this node may report that a job which may still have tasks is
+  /// cancelled, provided that it announces this now or has announced it before. From that time on, no leader
+  /// starts a task of the job.
+  [[nodiscard]] Instant earliest_cancellation_at(const std::string& job_id, Instant now) const;
   /// Returns whether this stage may be reported now, based on a request that was sent to the key-value store
   /// at `request_sent_at`. If not, the key-value store has to be read again.
   [[nodiscard]] bool may_answer(const std::string& job_id, JobStage stage, Instant request_sent_at,
--- a/src/job_api/read_consistency.cpp
+++ b/src/job_api/read_consistency.cpp
@@ -81,6 +81,18 @@
   return std::max(now, outdated_at + kClockMargin);
 }
 
+Instant ReadConsistency::earliest_cancellation_at(const std::string& job_id, Instant now) const {
+  if (single_node_) return now;
+  Instant announced_at = now;
+  if (const auto it = jobs_.find(job_id); it != jobs_.end()) {
+    if (it->second.confirmed[kFinishedIndex]) return now;
+    announced_at = std::min(now, it->second.announced_at[kFinishedIndex]);
+  }
+  // When this node observed the cancellation does not matter: a leader that reaches all its peers need not
+  // have read the state service since.
+  return std::max(now, announced_at + kMaxLiveAge + kClockMargin);
+}
+
 bool ReadConsistency::may_answer(const std::string& job_id, JobStage stage, Instant request_sent_at,
                                  Instant now) const {
   if (stage == JobStage::finished) return true;
--- a/src/leader/include/wrenusher/leader/leader_actor.hpp
+++ b/src/leader/include/wrenusher/leader/leader_actor.hpp
@@ -67,6 +67,8 @@
   /// Replaces the set of suspected machines; clears the suspicion of all other machines.
   void on_machines_suspected(const events::MachinesSuspected& event);
   void on_job_cancelled(const events::JobCancelled& event);
+  /// Reads the changes of the records from the state service at once, unless such a read is in progress.
+  void on_cancellations_needed(const events::CancellationsNeeded& event);
   /// Handles the hints received from the previous leader; called after `on_term` and before the records are
   /// loaded.
   void on_hints_inherited(const std::shared_ptr<const events::InheritedHints>& inherited);
@@ -108,8 +110,9 @@
   /// Lists the jobs in the state service once more, at a low rate, and adds those that the replica lacked: a
   /// job that is missing from the replica and has no assignments would otherwise never run.
   void find_missed_jobs(const std::string& after_key, std::uint64_t fencing_token);
-  void watch_records(std::uint64_t from_revision, std::uint64_t fencing_token);
-  void on_watch_reply(const kv_client::WatchReply& reply, Instant requested_at);
+  void watch_records(std::uint64_t fencing_token);
+  void on_watch_reply(kv_client::WatchReply reply, Instant requested_at);
+  void drop_applied_changes(kv_client::WatchReply& reply) const;
   void apply_watch(const kv_client::WatchReply& reply);
   void add_job(const KeyValue& row);
   void refresh_job(const std::string& job_id);
@@ -146,6 +149,8 @@
   Instant lease_valid_until_{};
   Instant term_began_{};
   bool records_loaded_ = false;
+  std::uint64_t records_revision_ = 0;  ///< all changes of job records up to this revision were applied
+  bool reading_changes_ = false;        ///< a read for `on_cancellations_needed` is in progress
   bool cycle_requested_ = false;
   Instant last_cycle_{};
   /// The newest report of each machine that reported before the records were loaded.
--- a/src/leader/leader_records.cpp
+++ b/src/leader/leader_records.cpp
@@ -76,7 +76,8 @@
   log_records_loaded(assignments, from_replica);
   report_inherited_cancellations();
   for (const auto& [host, report] : std::exchange(early_reports_, {})) on_report(report);
-  watch_records(revision, term_.fencing_token);
+  records_revision_ = revision;
+  watch_records(term_.fencing_token);
 }
 
 void LeaderActor::log_records_loaded(std::size_t assignments, bool from_replica) const {
@@ -96,10 +97,10 @@
   cancellations_read(cancellations);
 }
 
-void LeaderActor::watch_records(std::uint64_t from_revision, std::uint64_t fencing_token) {
+void LeaderActor::watch_records(std::uint64_t fencing_token) {
   store_.watch(
-      records::kJobPrefix, from_revision, kWatchTimeout, KvClient::RequestClass::lease,
-      [this, from_revision, fencing_token, requested_at = runtime_.now()](const WatchReply& reply) {
+      records::kJobPrefix, records_revision_, kWatchTimeout, KvClient::RequestClass::lease,
+      [this, fencing_token, requested_at = runtime_.now()](const WatchReply& reply) {
         if (!serving_term(fencing_token)) return;
         if (reply.result == WatchReply::Result::too_old || reply.result == WatchReply::Result::too_large) {
           log::warn("watch_changes_missed", "the watch missed changes; reading all live jobs again");
@@ -107,18 +108,30 @@
           read_records();
           return;
         }
-        std::uint64_t next_revision = from_revision;
-        if (reply.result == WatchReply::Result::ok) {
-          next_revision = std::max(from_revision, reply.revision);
-          on_watch_reply(reply, requested_at);
-        }
-        runtime_.after(kWatchPause, [this, next_revision, fencing_token] {
-          if (leading_term(fencing_token)) watch_records(next_revision, fencing_token);
+        if (reply.result == WatchReply::Result::ok) on_watch_reply(reply, requested_at);
+        runtime_.after(kWatchPause, [this, fencing_token] {
+          if (leading_term(fencing_token)) watch_records(fencing_token);
         });
       });
 }
 
-void LeaderActor::on_watch_reply(const WatchReply& reply, Instant requested_at) {
+/// The watch above may wait at the state service for a change, so its reply only proves what the records were
+/// when it was sent.
+void LeaderActor::on_cancellations_needed(const events::CancellationsNeeded& /*event*/) {
+  if (!serving() || reading_changes_) return;
+  reading_changes_ = true;
+  store_.watch(
+      records::kJobPrefix, records_revision_, Micros{0}, KvClient::RequestClass::lease,
+      [this, fencing_token = term_.fencing_token, requested_at = runtime_.now()](const WatchReply& reply) {
+        reading_changes_ = false;
+        if (serving_term(fencing_token) && reply.result == WatchReply::Result::ok)
+          on_watch_reply(reply, requested_at);
+      });
+}
+
+void LeaderActor::on_watch_reply(WatchReply reply, Instant requested_at) {
+  drop_applied_changes(reply);
+  records_revision_ = std::max(records_revision_, reply.revision);
   apply_watch(reply);
   events::CancellationsRead cancellations{requested_at, {}};
   for (const KeyValue& row : reply.puts) {
@@ -134,6 +147,14 @@
     log::debug("job_added", "job {job} was added", log::with("job", *records::parse_job_key(row.key)));
 }
 
+/// Drops the changes that another watch has returned already. A job that has been removed since would
+/// otherwise be added again.
+void LeaderActor::drop_applied_changes(WatchReply& reply) const {
+  const auto is_applied = [this](const auto& change) { return change.mod_revision <= records_revision_; };
+  std::erase_if(reply.puts, is_applied);
+  std::erase_if(reply.deletes, is_applied);
+}
+
 void LeaderActor::apply_watch(const WatchReply& reply) {
   for (const KeyValue& row : reply.puts) {
     const auto job_id = records::parse_job_key(row.key);
--- a/src/membership/include/wrenusher/membership/cancellation_log.hpp
+++ b/src/membership/include/wrenusher/membership/cancellation_log.hpp
@@ -36,8 +36,8 @@
   bool record(const std::string& job_id, Instant now);
 
   /// Adds the fields of a heartbeat to `peer`: the rows that it has not confirmed yet, and the numbers of its
-  /// rows received here.
-  void write(const std::string& peer, Value::Map& out) const { log_.write(peer, out); }
+  /// rows received here. Returns whether the heartbeat contains the last row of the log.
+  bool write(const std::string& peer, Value::Map& out) const { return log_.write(peer, out); }
 
   struct MergeResult {
     std::vector<std::string> job_ids;  ///< cancelled jobs; may include jobs that were received before
--- a/src/membership/include/wrenusher/membership/replicated_log.hpp
+++ b/src/membership/include/wrenusher/membership/replicated_log.hpp
@@ -6,6 +6,7 @@
 // The log also tracks which rows of each peer's log this node has received. It does no I/O: its fields
 // travel in the heartbeats between controllers.
 
+#include <cstddef>
 #include <cstdint>
 #include <deque>
 #include <functional>
@@ -51,10 +52,12 @@
   [[nodiscard]] bool has_peers() const { return !peers_.empty(); }
   [[nodiscard]] std::size_t size() const { return rows_.size(); }
 
+  /// Maximum number of rows in one heartbeat.
+  static constexpr std::size_t kMaxRowsPerHeartbeat = 1000;
   /// Adds the fields of a heartbeat to `peer`: the rows that it has not confirmed yet, and the numbers of its
-  /// rows received here. Writes at most one page of rows; the next heartbeat continues after the rows that
-  /// the peer has confirmed by then.
-  void write(const std::string& peer, Value::Map& out) const;
+  /// rows received here. Writes at most one page of at most `max_rows` rows; the next heartbeat continues
+  /// after the rows that the peer has confirmed by then. Returns whether the page contains the last row.
+  bool write(const std::string& peer, Value::Map& out, std::size_t max_rows = kMaxRowsPerHeartbeat) const;
 
   struct MergeResult {
     std::vector<std::string> rows;  ///< may include rows that were received before
--- a/src/membership/peer.cpp
+++ b/src/membership/peer.cpp
@@ -125,8 +125,9 @@
   own_status_.abstains = abstains();
   ++sent_number_.sequence;
   Value::Map heartbeat = write_heartbeat_head(own_status_, sent_number_);
-  cancellations_.write(peer, heartbeat);
-  announcements_.write(peer, heartbeat);
+  // A peer that confirms an announcement must have every cancellation that was recorded before it.
+  const bool all_cancellations = cancellations_.write(peer, heartbeat);
+  announcements_.write(peer, heartbeat, all_cancellations ? ReplicatedLog::kMaxRowsPerHeartbeat : 0);
   write_heartbeat_tail(own_status_, heartbeat);
   return heartbeat;
 }
--- a/src/membership/replicated_log.cpp
+++ b/src/membership/replicated_log.cpp
@@ -7,9 +7,8 @@
 
 namespace {
 
-/// Limits of one page: the rows and bytes of this log in one heartbeat, which may have 64 KiB for all its
-/// fields. The next heartbeat continues with the remaining rows.
-constexpr std::size_t kMaxRowsPerHeartbeat = 1000;
+/// Maximum bytes of this log in one heartbeat, which may have 64 KiB for all its fields. The next heartbeat
+/// continues with the remaining rows.
 constexpr std::size_t kMaxRowBytes = std::size_t{16} * 1024;
 /// Size of the CBOR head before a row's text.
 constexpr std::size_t kRowHeadBytes = 2;
@@ -62,22 +61,24 @@
   }
 }
 
-void ReplicatedLog::write(const std::string& peer, Value::Map& out) const {
+bool ReplicatedLog::write(const std::string& peer, Value::Map& out, std::size_t max_rows) const {
   const auto position = peers_.find(peer);
-  if (position == peers_.end()) return;
+  if (position == peers_.end()) return true;
   const std::uint64_t from =
       std::max(first_number_, std::min(position->second.confirmed_through, last_number()) + 1);
   Value::List rows;
   std::size_t bytes = 0;
-  for (std::size_t i = from - first_number_; i < rows_.size() && rows.size() < kMaxRowsPerHeartbeat; ++i) {
+  for (std::size_t i = from - first_number_; i < rows_.size() && rows.size() < max_rows; ++i) {
     bytes += rows_[i].text.size() + kRowHeadBytes;
     if (bytes > kMaxRowBytes) break;
     rows.emplace_back(rows_[i].text);
   }
+  const bool complete = from + rows.size() > last_number();
   out.emplace_back(options_.fields.rows, std::move(rows));
   out.emplace_back(options_.fields.range, Value::List{incarnation_, from, last_number()});
   out.emplace_back(options_.fields.received,
                    Value::List{position->second.incarnation, position->second.received_through});
+  return complete;
 }
 
 std::string ReplicatedLog::read_rows(const Value& value, std::vector<std::string>& out) const {
--- a/src/worker_gateway/include/wrenusher/worker_gateway/worker_gateway.hpp
+++ b/src/worker_gateway/include/wrenusher/worker_gateway/worker_gateway.hpp
@@ -79,6 +79,8 @@
   /// the same name.
   runtime::EventSink<events::MachineCordoned> machine_unreachable;
   runtime::EventSink<events::MachinesSuspected> machines_suspected;
+  /// Sent when a reply with start commands waits for a newer list of cancellations.
+  runtime::EventSink<events::CancellationsNeeded> cancellations_needed;
   /// Sent every 250 ms, whether this node leads or not.
   runtime::EventSink<events::WorkerReachability> reachability;
   runtime::EventSink<events::LeadershipLost> leadership_lost;
@@ -110,13 +112,25 @@
     time::Instant deadline{};
   };
 
+  /// A reply with start commands that waits until the list of cancellations is new enough to send them.
+  struct WaitingStarts {
+    Report report;
+    std::uint64_t fencing_token = 0;
+    Commands commands;
+    runtime::Responder answer;
+    time::Instant deadline{};
+  };
+
   void process_report(const Report& report, bool worker_initiated, const ReplyHandler& reply);
   void process_call_response(protocol::WorkerReport report);
   void update_worker(WorkerState& worker, const protocol::WorkerReport& report, bool worker_initiated);
   void send_reply(const Report& report, std::uint64_t fencing_token, Commands commands,
                   const runtime::Responder& answer);
+  void finish_reply(const protocol::WorkerReport& report, std::uint64_t fencing_token, Commands commands,
+                    const runtime::Responder& answer);
   void record_reply(const protocol::WorkerReport& report, const Commands& commands);
   void answer_waiting_reports();
+  void answer_waiting_starts();
   runtime::Response redirect() const;
 
   void poll_about_old_report(WorkerState& worker, const protocol::WorkerReport& old_report);
@@ -151,6 +165,7 @@
   WorkerPoller poller_;
   DepartedMachines departed_machines_;
   std::deque<WaitingReport> waiting_reports_;
+  std::deque<WaitingStarts> waiting_starts_;
   time::Instant next_old_report_poll_at_{};
   bool replies_lost_ = false;  ///< whether most reports show no effect of this leader's replies
   std::shared_ptr<const topology::Topology> topology_;
--- a/src/worker_gateway/lease_renewal_guard.cpp
+++ b/src/worker_gateway/lease_renewal_guard.cpp
@@ -81,6 +81,10 @@
          });
 }
 
+bool LeaseRenewalGuard::may_start() const {
+  return known_cancellations_.through >= runtime_.now() - events::kMaxLiveAge;
+}
+
 void LeaseRenewalGuard::add_stops(const WorkerReport& report, std::vector<WorkerCommand>& commands) const {
   if (cancelled_.empty()) return;
   std::erase_if(commands, [&](const WorkerCommand& command) {
@@ -102,15 +106,30 @@
       "lease_renewal_withheld",
       "leases of machines with tasks are not renewed: neither the state service nor {peer} has confirmed for "
       "{seconds:.0f} s that the list of cancelled jobs is complete",
-      log::with("peer",
-                known_cancellations_.slowest_peer.empty() ? "a peer" : known_cancellations_.slowest_peer),
-      log::with("seconds", to_seconds(max_cancellation_lag())));
+      log::with("peer", slowest_peer()), log::with("seconds", to_seconds(max_cancellation_lag())));
+}
+
+void LeaseRenewalGuard::on_starts_withheld() {
+  if (std::exchange(withholding_starts_, true)) return;
+  log::info("starts_withheld",
+            "no tasks are started: neither the state service nor {peer} has confirmed within {seconds:.2f} s "
+            "that the list of cancelled jobs is complete",
+            log::with("peer", slowest_peer()), log::with("seconds", to_seconds(events::kMaxLiveAge)));
 }
 
 void LeaseRenewalGuard::log_if_recovered() {
-  if (!withholding_ || !cancellations_current()) return;
-  withholding_ = false;
-  log::info("lease_renewal_resumed", "leases are renewed again: the list of cancelled jobs is up to date");
+  if (withholding_starts_ && may_start()) {
+    withholding_starts_ = false;
+    log::info("starts_resumed", "tasks are started again: the list of cancelled jobs is up to date");
+  }
+  if (withholding_ && cancellations_current()) {
+    withholding_ = false;
+    log::info("lease_renewal_resumed", "leases are renewed again: the list of cancelled jobs is up to date");
+  }
+}
+
+std::string LeaseRenewalGuard::slowest_peer() const {
+  return known_cancellations_.slowest_peer.empty() ? "a peer" : known_cancellations_.slowest_peer;
 }
 
 }  // namespace wrenusher::worker_gateway
--- a/src/worker_gateway/worker_gateway.cpp
+++ b/src/worker_gateway/worker_gateway.cpp
@@ -51,12 +51,18 @@
 constexpr Micros kLostReplyDelay = from_seconds(6);
 /// A report whose reply may not renew the lease yet waits for this time; then it is rejected.
 constexpr Micros kMaxCancellationWait = from_seconds(1.5);
+/// A reply whose start commands may not be sent yet waits for this time; then it is sent without them. The
+/// worker waits for 4 s in all.
+constexpr Micros kMaxStartWait = from_seconds(1);
 /// The leader of the first term has no previous leader whose workers could be missing.
 constexpr std::uint64_t kFirstInheritingToken = 2;
 
+bool is_start(const WorkerCommand& command) {
+  return command.verb == WorkerCommand::Verb::start;
+}
+
 void erase_starts(std::vector<WorkerCommand>& commands) {
-  std::erase_if(commands,
-                [](const WorkerCommand& command) { return command.verb == WorkerCommand::Verb::start; });
+  std::erase_if(commands, is_start);
 }
 
 /// Logs that a reply is without some of the worker's commands, since they do not fit into it.
@@ -207,8 +213,19 @@
   // started. The reply still renews the worker's lease.
   if (runtime_.now() >= lease_valid_until_) erase_starts(commands);
   renewal_guard_.add_stops(*report, commands);
-  log_left_out(report->host, limit_reply(*report, commands));
-  record_reply(*report, commands);
+  if (!renewal_guard_.may_start() && std::any_of(commands.begin(), commands.end(), is_start)) {
+    waiting_starts_.push_back(
+        {report, fencing_token, std::move(commands), answer, runtime_.now() + kMaxStartWait});
+    cancellations_needed(events::CancellationsNeeded{});
+    return;
+  }
+  finish_reply(*report, fencing_token, std::move(commands), answer);
+}
+
+void WorkerGateway::finish_reply(const WorkerReport& report, std::uint64_t fencing_token, Commands commands,
+                                 const Responder& answer) {
+  log_left_out(report.host, limit_reply(report, commands));
+  record_reply(report, commands);
   answer({200,
           value::encode(Value::Map{{"epoch", fencing_token}, {"orders", protocol::write_commands(commands)}}),
           0});
@@ -225,6 +242,7 @@
 void WorkerGateway::on_cancellations_known(const events::CancellationsKnown& event) {
   renewal_guard_.on_cancellations_known(event);
   answer_waiting_reports();
+  answer_waiting_starts();
 }
 
 void WorkerGateway::answer_waiting_reports() {
@@ -245,6 +263,26 @@
   renewal_guard_.log_if_recovered();
 }
 
+/// Sends the replies whose start commands may be sent now. Replies that have waited too long are sent without
+/// these commands; the next report shows that the tasks have not started.
+void WorkerGateway::answer_waiting_starts() {
+  for (std::size_t n = waiting_starts_.size(); n > 0; --n) {
+    WaitingStarts waiting = std::move(waiting_starts_.front());
+    waiting_starts_.pop_front();
+    const bool expired = runtime_.now() >= waiting.deadline;
+    if (leads_term(waiting.fencing_token) && !expired && !renewal_guard_.may_start()) {
+      waiting_starts_.push_back(std::move(waiting));
+      continue;
+    }
+    if (expired && !renewal_guard_.may_start()) {
+      erase_starts(waiting.commands);
+      renewal_guard_.on_starts_withheld();
+    }
+    send_reply(waiting.report, waiting.fencing_token, std::move(waiting.commands), waiting.answer);
+  }
+  if (!waiting_starts_.empty()) cancellations_needed(events::CancellationsNeeded{});
+}
+
 // Calls to workers.
 
 /// Polls a worker after a report that is not newer than the newest report under its name. Such a report is
@@ -344,6 +382,7 @@
   const Instant now = runtime_.now();
   compensate_stall(now);
   answer_waiting_reports();
+  answer_waiting_starts();
   const Micros limit = silence_limit();
   const bool receives_reports = listener_health_.receives_reports(now, limit);
   listener_health_.on_report_counts(now, report_counts(now));
--- a/testbed/models/checker.cpp
+++ b/testbed/models/checker.cpp
@@ -82,6 +82,8 @@
 
 void Checker::given(Instant now, const std::string& node, const Request& request, const Response& response) {
   static const std::string kBase = "/submissions";
+  const std::string sender = node + " at " + std::to_string(to_seconds(now.time_since_epoch())) + " s";
+  if (request.target == "/hello") check_start_commands(sender, response);
   if (!request.target.starts_with(kBase)) return;
   const auto body = decode(response.body);
   const std::string* state = body ? (*body)["status"].text() : nullptr;
@@ -103,14 +105,31 @@
              !(is_submission && (response.status == 400 || response.status == 422))) {
     return;
   }
-  const std::string what = (level > 0 ? *state : std::to_string(response.status)) + " by " + node + " at " +
-                           std::to_string(to_seconds(now.time_since_epoch())) + " s";
+  const std::string what = (level > 0 ? *state : std::to_string(response.status)) + " by " + sender;
+  if (level > 0 && *state == "withdrawn") withdrawn_.emplace(job_id, what);
   Answered& latest = answered_[job_id];
   if (level < latest.stage)
     record_broken_rule("older_answer", job_id + ": " + what + ", after " + latest.what);
   if (level > latest.stage) latest = {level, what};
 }
 
+/// Checks a node's reply to a worker's report.
+void Checker::check_start_commands(const std::string& sender, const Response& response) {
+  if (withdrawn_.empty()) return;
+  const auto body = decode(response.body);
+  const Value::List* commands = body ? (*body)["orders"].list() : nullptr;
+  if (commands == nullptr) return;
+  for (const Value& command : *commands) {
+    const std::string* verb = command["verb"].text();
+    const std::string* unit = command["unit"].text();
+    if (verb == nullptr || unit == nullptr || *verb != "run") continue;
+    const auto withdrawn = withdrawn_.find(unit->substr(0, unit->find('/')));
+    if (withdrawn != withdrawn_.end())
+      record_broken_rule("started_withdrawn",
+                         *unit + " was started by " + sender + ", after " + withdrawn->second);
+  }
+}
+
 void Checker::started(Instant now, const std::string& job_id, std::uint32_t task, const std::string& host,
                       const std::string& machine_type, const std::string& site, bool standby) {
   ++starts_;
--- a/testbed/models/include/wrenusher/testbed/checker.hpp
+++ b/testbed/models/include/wrenusher/testbed/checker.hpp
@@ -44,8 +44,9 @@
   void answered_poll(Instant now, const std::string& job_id, int status, const std::string& state,
                      Instant sent_at);
 
-  /// Records that a node answers a user's request. Answers of all nodes to all users are ordered by the time
-  /// at which the node sends them, regardless of their transit time.
+  /// Records that a node answers a request of a user or a report of a worker. Answers of all nodes are
+  /// ordered by the time at which the node sends them, regardless of their transit time. A reply to a report
+  /// must not start a task of a job after any node has answered that the job is withdrawn.
   void given(Instant now, const std::string& node, const Request& request, const Response& response);
   /// Marks a job that can never run or whose description lacks a field, so that no node may accept it.
   void never_submitted(const std::string& job_id) { never_submitted_.insert(job_id); }
@@ -147,6 +148,7 @@
                     const std::function<void(std::uint32_t, const std::vector<Location>&)>& f) const;
   void record_broken_rule(const std::string& rule, const std::string& note);
   void record_final_state(Instant now, const std::string& job_id, const std::string& state);
+  void check_start_commands(const std::string& sender, const Response& response);
 
   /// The most advanced stage of a job that any node has answered: 0 unknown, 1 accepted, 2 ended.
   struct Answered {
@@ -154,6 +156,7 @@
     std::string what;
   };
   std::map<std::string, Answered> answered_;
+  std::map<std::string, std::string> withdrawn_;  ///< by job: which node first answered so, and when
   std::set<std::string> never_submitted_;
   const Settings& settings_;
   std::shared_ptr<const topology::Topology> topology_;
--- a/tests/answers_test.cpp
+++ b/tests/answers_test.cpp
@@ -222,6 +222,24 @@
   EXPECT_EQ(single_node_consistency.earliest_answer_at("a", JobStage::finished, start), start);
 }
 
+// Guards against starts after "withdrawn": a leader that reaches its peers may start a task without having
+// read the state service since the cancellation, so a node must announce it, however long ago it observed it.
+TEST(ReadConsistencyTest, CancellationIsReportedOnlyOnceAnnounced) {
+  const Instant start = Instant{} + from_seconds(100);
+  const Instant later = start + from_seconds(5);
+  ReadConsistency consistency(false);
+  consistency.observe("a", JobStage::finished, start);
+  EXPECT_EQ(consistency.earliest_answer_at("a", JobStage::finished, later), later);
+  EXPECT_EQ(consistency.earliest_cancellation_at("a", later), later + from_millis(600));
+  consistency.announce("a", JobStage::finished, later);
+  EXPECT_EQ(consistency.earliest_cancellation_at("a", later + from_millis(200)), later + from_millis(600));
+  EXPECT_EQ(consistency.earliest_cancellation_at("a", later + from_millis(700)), later + from_millis(700));
+  consistency.on_announcement_confirmed("a", JobStage::finished);
+  EXPECT_EQ(consistency.earliest_cancellation_at("a", later), later);
+  ReadConsistency single_node_consistency(true);
+  EXPECT_EQ(single_node_consistency.earliest_cancellation_at("a", start), start);
+}
+
 // Exceeds the limit on tracked jobs: an evicted job has to be announced again, and no job is evicted while a
 // pending answer could still be older than its stage.
 TEST(ReadConsistencyTest, EvictedJobHasToBeAnnouncedAgain) {
--- a/tests/cancelled_test.cpp
+++ b/tests/cancelled_test.cpp
@@ -9,8 +9,10 @@
 #include <algorithm>
 #include <cstdlib>
 
+#include "manual_runtime.hpp"
 #include "verdict_assertions.hpp"
 #include "wrenusher/membership/cancellation_log.hpp"
+#include "wrenusher/membership/peer.hpp"
 
 using namespace wrenusher::testbed;
 using namespace wrenusher::protocol;
@@ -500,6 +502,58 @@
   }
 }
 
+namespace {
+
+/// Settings under which a machine waits for up to 3.75 s until its next report brings it the start of a task.
+Settings slow_reports() {
+  Settings settings = World::small_site();
+  settings.report_interval = from_seconds(3);
+  settings.worker_lease = from_seconds(24);
+  settings.cancel_deadline = from_seconds(54);
+  return settings;
+}
+
+/// Runs a job that leaves many machines idle for a while when it has ended.
+void run_until_machines_idle(World& world) {
+  const JobSpec warm_up = World::job(1, 30, 16, 20);
+  world.submit(warm_up);
+  for (int i = 0; i < 200 && world.told(warm_up.job_id) != "done"; ++i) world.run(from_seconds(1));
+  ASSERT_EQ(world.told(warm_up.job_id), "done");
+}
+
+}  // namespace
+
+// Guards against tasks that start after their user was told "withdrawn": a leader that has lost the state
+// service and its peers, but not its workers, knows nothing of a cancellation that another controller
+// confirms within the leader's last lease. Offsets are drawn.
+TEST(CancellationTest, IsolatedLeaderStartsNoTaskOfWithdrawnJob) {
+  int confirmations = 0;
+  for (std::uint64_t seed = 1; seed <= 8; ++seed) {
+    CancellationScenario scenario(700 + seed, 0, slow_reports());
+    World& world = scenario.world;
+    ASSERT_NO_FATAL_FAILURE(run_until_machines_idle(world));
+    scenario.leader = world.leader();
+    ASSERT_GE(scenario.leader, 0);
+    scenario.first_peer = (scenario.leader + 1) % 3;
+    const double cut_s = world.uniform(1.0, 1.6);
+    for (int i = 0; i < 10; ++i) {
+      const JobSpec spec = World::job(101 + 2 * i, 6, 4, 60);
+      world.at(from_seconds(world.uniform(0.3, 1)), [&world, spec] { world.submit(spec); });
+      world.at(from_seconds(cut_s + world.uniform(0, 1.5)),
+               [&scenario, spec] { scenario.cancel_job(scenario.first_peer, spec.job_id); });
+    }
+    world.at(from_seconds(cut_s), [&scenario, seed] {
+      scenario.world.leave_alone(scenario.leader, seed % 2 == 0 ? LinkCut::hold : LinkCut::reset);
+    });
+    world.run(from_seconds(15));
+    world.heal();
+    world.run(from_seconds(60));
+    confirmations += scenario.confirmations;
+    EXPECT_TRUE(world.checker.broken().empty()) << "seed " << seed << "\n" << notes(world).substr(0, 1500);
+  }
+  EXPECT_GE(confirmations, 40);
+}
+
 // Stopping all tasks at each outage would keep the rule but lose the work.
 TEST(CancellationTest, SharedOutageWithoutNodeLossStopsNoTask) {
   for (int controllers = 1; controllers <= 3; ++controllers) {
@@ -522,6 +576,12 @@
   return Instant{} + from_seconds(100) + from_millis(ms);
 }
 
+/// Returns the incarnation that numbers the cancellations in the first heartbeat among the calls.
+std::uint64_t incarnation_of(const std::vector<wrenusher::runtime::ManualRuntime::Call>& calls) {
+  const auto heartbeat = decode(calls.at(0).request.body);
+  return (*heartbeat)["log"].list()->at(0).count().value_or(0);
+}
+
 Value heartbeat_fields(std::uint64_t incarnation, std::uint64_t from, std::uint64_t last,
                        std::vector<std::string> job_ids) {
   Value::List rows;
@@ -612,6 +672,39 @@
   EXPECT_EQ(sender.size(), 0U);
 }
 
+// Guards against starts after "withdrawn": a peer that confirms an announcement must have received the
+// cancellations before it, also if they need more than one heartbeat.
+TEST(PeerTest, AnnouncementIsSentAfterTheCancellationsBeforeIt) {
+  wrenusher::runtime::ManualRuntime runtime;
+  Settings settings;
+  settings.node = "a";
+  settings.peers = {{"b", "z", {}}};
+  wrenusher::membership::Peer peer(runtime, settings);
+  peer.start();
+  runtime.calls.clear();
+  for (int i = 0; i < 1500; ++i)
+    peer.on_cancelled(wrenusher::events::JobCancelled{"req-" + std::to_string(100000 + i)});
+  peer.on_announcement({"req-101499", wrenusher::events::JobStage::finished});
+  /// Exchanges one heartbeat and returns the numbers of cancellations and announcements in the reply.
+  std::uint64_t received = 0;
+  const auto exchange = [&] {
+    std::pair<std::size_t, std::size_t> rows;
+    Value::Map heartbeat{{"node", "b"}, {"epoch", std::uint64_t{0}}};
+    heartbeat.emplace_back("withdrawn", Value::List{});
+    heartbeat.emplace_back("log", Value::List{std::uint64_t{9}, std::uint64_t{1}, std::uint64_t{0}});
+    heartbeat.emplace_back("got", Value::List{incarnation_of(runtime.calls), received});
+    peer.serve({"POST", "/beat", encode(Value(std::move(heartbeat)))},
+               [&](const wrenusher::runtime::Response& response) {
+                 const auto reply = decode(response.body);
+                 rows = {(*reply)["withdrawn"].list()->size(), (*reply)["told"].list()->size()};
+                 received += rows.first;
+               });
+    return rows;
+  };
+  EXPECT_EQ(exchange(), std::pair(std::size_t{1000}, std::size_t{0}));
+  EXPECT_EQ(exchange(), std::pair(std::size_t{500}, std::size_t{1}));
+}
+
 TEST(CancellationLogTest, RefusesInconsistentHeartbeatAsWhole) {
   CancellationLog cancellations(5, {"c1"});
   cancellations.start(instant_at(0), from_seconds(30));
