Mark each task of a gang that has ended once, not once for each other task

What callers saw: a gang of 60,000 tasks ends, and each leader in turn answers nothing for 25 s or longer: no health check, user, worker or peer.

Cause: JobTable::finish_task called itself for every other task of a gang, and each of these calls did the same: the square of the tasks in calls, nested as deep as the gang has tasks.

--- a/src/job_table/include/wrenusher/job_table/job_table.hpp
+++ b/src/job_table/include/wrenusher/job_table/job_table.hpp
@@ -198,7 +198,7 @@
   /// Ends the gang's attempt: stops its remaining tasks, since all tasks of a gang share one attempt and the
   /// next attempt can begin only after them.
   void abort_gang_attempt(Job& job);
-  /// Marks the task as done; no effect if it is done already.
+  /// Marks the task as done, and with a gang's task all tasks of the gang; no effect if it is done already.
   void finish_task(Job& job, std::uint32_t task);
   /// Marks the job as cancelled, so that no more of its tasks start. The caller stops the assigned ones with
   /// `stop_job`.
@@ -236,6 +236,7 @@
   std::string block_disagreement(const Job& job, RecomputedTable& table) const;
   std::string total_disagreement(const RecomputedTable& table) const;
   void unassign(Job& job, std::uint32_t task);
+  void mark_done(Job& job, std::uint32_t task);
   static void restore_done(Job& job, const RangeSet& done);
   void restore_assignment(Job& job, std::uint32_t task, Machine& machine, std::uint64_t attempt,
                           std::uint64_t version);
--- a/src/job_table/job_table.cpp
+++ b/src/job_table/job_table.cpp
@@ -264,6 +264,17 @@
 }
 
 void JobTable::finish_task(Job& job, std::uint32_t task) {
+  if (job.done.contains(task)) return;
+  mark_done(job, task);
+  if (job.spec().type == JobType::gang) {
+    // The tasks of a gang finish together, so one finished task implies that all are finished.
+    for (std::uint32_t other = 0; other < job.spec().task_count; ++other) mark_done(job, other);
+  }
+  update_finished(job);
+}
+
+/// Marks a single task as done, whatever the job's type; no effect if it is done already.
+void JobTable::mark_done(Job& job, std::uint32_t task) {
   if (job.done.contains(task)) return;
   unassign(job, task);
   job.waiting.remove(task);
@@ -271,11 +282,6 @@
   ++job.change_count;
   mark_dirty(job, task, false);
   job.uncommitted_done[task] = version_;
-  update_finished(job);
-  if (job.spec().type == JobType::gang) {
-    // The tasks of a gang finish together, so one finished task implies that all are finished.
-    for (std::uint32_t other = 0; other < job.spec().task_count; ++other) finish_task(job, other);
-  }
 }
 
 void JobTable::cancel(Job& job) {
--- /dev/null
+++ b/tests/large_jobs_test.cpp
@@ -0,0 +1,65 @@
+// Tests that jobs with as many tasks as the protocol allows do not hold a controller's loop: while it handles
+// one event, it answers nobody.
+
+#include <gtest/gtest.h>
+
+#include <ctime>
+
+#include "manual_runtime.hpp"
+#include "wrenusher/job_table/job_table.hpp"
+
+using namespace wrenusher::time;
+using namespace wrenusher::protocol;
+using wrenusher::job_table::Job;
+using wrenusher::job_table::JobTable;
+using wrenusher::job_table::TaskState;
+
+namespace {
+
+constexpr std::uint32_t kTasksPerMachine = 400;
+constexpr std::uint32_t kTasksPerBlock = 150;
+/// Controllers send each other a heartbeat in this interval.
+constexpr double kHeartbeatSeconds = 0.5;
+
+/// A job table with one job, whose tasks are all assigned to machines.
+struct AssignedJob {
+  wrenusher::runtime::ManualRuntime runtime;
+  wrenusher::estimates::Estimator estimator;
+  wrenusher::machine_inventory::MachineInventory machines{runtime, estimator};
+  JobTable jobs{runtime, machines};
+  Job* job = nullptr;
+
+  AssignedJob(JobType type, std::uint32_t tasks) {
+    jobs.reset(1);
+    JobSpec spec;
+    spec.job_id = "req-100000";
+    spec.team = "team";
+    spec.type = type;
+    spec.task_count = tasks;
+    spec.resources = {to_amount(0.1), 0, to_amount(0.5)};
+    job = &jobs.add(spec.job_id, {spec, runtime.wall_time(), kTasksPerBlock, false}, 1);
+    for (std::uint32_t task = 0; task < tasks; ++task)
+      jobs.assign(*job, task, machines.get_or_add("m-" + std::to_string(task / kTasksPerMachine)), 1,
+                  TaskState::assigned);
+  }
+};
+
+/// Returns the processor time that `action` takes, which does not depend on other processes.
+template <typename Action>
+double processor_seconds(Action action) {
+  const std::clock_t start = std::clock();
+  action();
+  return static_cast<double>(std::clock() - start) / CLOCKS_PER_SEC;
+}
+
+}  // namespace
+
+// Guards against a leader that answers nobody, and loses its lease, when a gang with many tasks ends.
+TEST(LargeJobsTest, EndOfLargestGangTakesLessThanHeartbeatInterval) {
+  AssignedJob gang(JobType::gang, kMaxTasksPerJob);
+  EXPECT_LT(processor_seconds([&] { gang.jobs.finish_task(*gang.job, 7); }), kHeartbeatSeconds);
+  EXPECT_EQ(gang.job->done.size(), kMaxTasksPerJob);
+  EXPECT_TRUE(gang.job->assignments.empty());
+  EXPECT_TRUE(gang.jobs.finished_jobs().contains("req-100000"));
+  EXPECT_EQ(gang.jobs.disagreement(), "");
+}
