Insert the assignments of a plan by position

Cause: each task was looked up three times in the maps of its job and its machine.

Change: one look-up, and insertion by its position, since a plan assigns tasks in ascending order.

--- a/src/job_table/job_table.cpp
+++ b/src/job_table/job_table.cpp
@@ -119,7 +119,12 @@
 
 void JobTable::assign(Job& job, std::uint32_t task, Machine& machine, std::uint64_t attempt,
                       TaskState state) {
-  if (job.assignments.contains(task)) unassign(job, task);
+  // Inserted by position: a plan assigns up to 100,000 tasks of a job in ascending order.
+  auto position = job.assignments.lower_bound(task);
+  if (position != job.assignments.end() && position->first == task) {
+    unassign(job, task);
+    position = job.assignments.lower_bound(task);
+  }
   job.waiting.remove(task);
   mark_dirty(job, task, true);
   TaskAssignment assignment;
@@ -128,13 +133,14 @@
   assignment.version = version_;
   assignment.state = state;
   assignment.assigned_at = runtime_.now();
-  TaskAssignment& added = job.assignments.emplace(task, assignment).first->second;
+  TaskAssignment& added = job.assignments.emplace_hint(position, task, assignment)->second;
   // A task that was read at failover may be running already, so no fetch is assumed for it. If the task still
   // fetches its image, the worker's report shows this.
   if (state == TaskState::assigned) begin_fetch(job, added);
   if (state == TaskState::recovered) ++unconfirmed_count_;
   job.last_attempt = std::max(job.last_attempt, attempt);
-  assignments_by_machine_[&machine].emplace(AssignmentKey{job.id, task}, &job);
+  MachineAssignments& on_machine = assignments_by_machine_[&machine];
+  on_machine.emplace_hint(on_machine.end(), AssignmentKey{job.id, task}, &job);
   machines_.reserve(machine, job.spec());
   ++job.change_count;
   team_usage_[job.spec().team] += job.spec().resources;
