Log events that hold the loop for longer than a heartbeat interval

Change: UvRuntime measures each request, timer and posted event. Over 0.5 s it logs event_slow with the request or the event's type, the duration and the thread's processor time, which is read once a turn of the loop.

--- a/src/net/include/wrenusher/net/net.hpp
+++ b/src/net/include/wrenusher/net/net.hpp
@@ -63,6 +63,7 @@
   uv_idle_t posted_idle_{};
   std::deque<std::function<void()>> posted_;
   bool running_posted_ = false;
+  Micros processor_time_{};  ///< of this thread, at the end of the loop's last turn
   std::mt19937_64 random_;
   int max_sockets_;
   int max_connections_per_endpoint_;
--- a/src/net/net.cpp
+++ b/src/net/net.cpp
@@ -7,6 +7,7 @@
 #include <array>
 #include <cstring>
 
+#include "wrenusher/net/event_timer.hpp"
 #include "wrenusher/runtime/error_response.hpp"
 
 namespace wrenusher::net {
@@ -194,6 +195,8 @@
     std::weak_ptr<InboundConnection> weak = weak_from_this();
     Request received = std::move(request);
     request = {};
+    const std::string name = received.method + " " + received.target;
+    const EventTimer timer(name, listener->runtime->processor_time_);
     listener->handler(std::move(received), [weak, keep_open](Response response) {
       if (auto self = weak.lock(); self && self->response_pending) self->send_response(response, keep_open);
     });
@@ -570,9 +573,11 @@
   while (!posted_.empty()) {
     auto action = std::move(posted_.front());
     posted_.pop_front();
+    const EventTimer timer(action.target_type().name(), processor_time_);
     action();
   }
   running_posted_ = false;
+  processor_time_ = thread_processor_time();
   uv_idle_stop(&posted_idle_);
 }
 
@@ -583,10 +588,12 @@
 
 void UvRuntime::after(Micros delay, std::function<void()> action) {
   struct Timer {
+    UvRuntime* runtime = nullptr;
     uv_timer_t handle{};
     std::function<void()> callback;
   };
   auto* new_timer = new Timer;
+  new_timer->runtime = this;
   new_timer->callback = std::move(action);
   uv_timer_init(&loop_, &new_timer->handle);
   new_timer->handle.data = new_timer;
@@ -596,7 +603,10 @@
       &new_timer->handle,
       [](uv_timer_t* expired_handle) {
         auto* timer = static_cast<Timer*>(expired_handle->data);
-        timer->callback();
+        {
+          const EventTimer event_timer(timer->callback.target_type().name(), timer->runtime->processor_time_);
+          timer->callback();
+        }
         uv_close(reinterpret_cast<uv_handle_t*>(expired_handle),
                  [](uv_handle_t* closed_handle) { delete static_cast<Timer*>(closed_handle->data); });
       },
