Visit each task of a machine once when room is made for an urgent job

Cause: for each task that gets room, PreemptionPlanner::victims_for visited all tasks of the machine that had been chosen before, up to 404: the square of a machine's tasks. For each victim that is a gang's task, all tasks of the gang were copied and visited again.

Change: each machine has a position before which all tasks are chosen; a gang is visited once; the search ends at the first task of the job's own urgency, since less urgent ones come first. The tasks chosen are the same.

--- a/src/placement/preemption.cpp
+++ b/src/placement/preemption.cpp
@@ -64,7 +64,11 @@
 class PreemptionPlanner {
  public:
   PreemptionPlanner(const PreemptionView& view, const std::vector<RunningTask>& running)
-      : view_(view), running_(running), victims_(view.machines.size()), preempted_(running.size(), 0) {
+      : view_(view),
+        running_(running),
+        victims_(view.machines.size()),
+        next_victim_(view.machines.size(), 0),
+        preempted_(running.size(), 0) {
     collect_room();
     collect_victims();
   }
@@ -79,11 +83,14 @@
   std::vector<Candidate> candidates(const Shortage& shortage) const;
   bool make_room(const Shortage& shortage, std::size_t machine, JobDistribution& distribution);
   void preempt(std::size_t victim);
+  void choose(std::size_t victim);
+  void skip_preempted(std::size_t machine);
 
   const PreemptionView& view_;
   const std::vector<RunningTask>& running_;
   std::vector<FreeCapacity> room_;                 ///< by machine, after all chosen tasks have stopped
   std::vector<std::vector<std::size_t>> victims_;  ///< by machine, in preemption order
+  std::vector<std::size_t> next_victim_;  ///< by machine: all entries of `victims_` before it are chosen
   std::map<const JobSpec*, std::vector<std::size_t>> gangs_;  ///< running tasks of each gang
   std::vector<char> preempted_;                               ///< by running task: 1 if already chosen
   std::vector<std::size_t> chosen_;
@@ -117,10 +124,12 @@
   const JobSpec& spec = *view_.jobs[shortage.job].spec;
   std::vector<std::size_t> out;
   FreeCapacity free = room_[machine];
-  for (const std::size_t victim : victims_[machine]) {
+  for (std::size_t n = next_victim_[machine]; n < victims_[machine].size(); ++n) {
     if (count_fitting(spec, free, 1) > 0) break;
+    const std::size_t victim = victims_[machine][n];
     const RunningTask& task = running_[victim];
-    if (preempted_[victim] != 0 || task.spec->priority <= spec.priority) continue;
+    if (task.spec->priority <= spec.priority) break;  // so are all that follow
+    if (preempted_[victim] != 0) continue;
     FreeCapacity freed = free;
     freed.release(*task.spec);
     // Does not preempt a large task for a much smaller gain.
@@ -156,15 +165,28 @@
 /// Chooses the task and, if it belongs to a gang, all tasks of the gang: a gang stops as a whole and frees
 /// room on each of its machines.
 void PreemptionPlanner::preempt(std::size_t victim) {
+  if (preempted_[victim] != 0) return;  // chosen with another task of its gang
   const auto gang = gangs_.find(running_[victim].spec);
-  const std::vector<std::size_t> members =
-      gang == gangs_.end() ? std::vector<std::size_t>{victim} : gang->second;
-  for (const std::size_t i : members) {
-    if (preempted_[i] != 0 || running_[i].stopping) continue;
-    preempted_[i] = 1;
-    chosen_.push_back(i);
-    room_[running_[i].machine].release(*running_[i].spec);
+  if (gang == gangs_.end()) {
+    choose(victim);
+    return;
   }
+  for (const std::size_t member : gang->second) {
+    if (preempted_[member] == 0 && !running_[member].stopping) choose(member);
+  }
+}
+
+void PreemptionPlanner::choose(std::size_t victim) {
+  const RunningTask& task = running_[victim];
+  preempted_[victim] = 1;
+  chosen_.push_back(victim);
+  room_[task.machine].release(*task.spec);
+}
+
+void PreemptionPlanner::skip_preempted(std::size_t machine) {
+  const std::vector<std::size_t>& machine_victims = victims_[machine];
+  std::size_t& next = next_victim_[machine];
+  while (next < machine_victims.size() && preempted_[machine_victims[next]] != 0) ++next;
 }
 
 /// Makes room for one more task of the job on the machine and reserves it. Returns false if that is not
@@ -176,6 +198,7 @@
   if (zone_allowance(spec, distribution.zones, target.zone) == 0) return false;
   if (distribution.layout && layout_allowance(*distribution.layout, target, spec.task_count, true) == 0)
     return false;
+  skip_preempted(machine);
   const auto victims = victims_for(shortage, machine);
   if (!victims) return false;
   for (const std::size_t victim : *victims) preempt(victim);
--- a/tests/large_jobs_test.cpp
+++ b/tests/large_jobs_test.cpp
@@ -8,6 +8,7 @@
 
 #include "manual_runtime.hpp"
 #include "wrenusher/job_table/job_table.hpp"
+#include "wrenusher/placement/preemption.hpp"
 
 using namespace wrenusher::time;
 using namespace wrenusher::protocol;
@@ -89,3 +90,55 @@
   }
   EXPECT_LT(large, small * kMaxGrowth) << small << " s and " << large << " s";
 }
+
+namespace {
+
+/// Returns the processor time that choosing the tasks to preempt takes, where a job that runs on full
+/// machines is stopped as a whole for an urgent job of the same size.
+double preemption_seconds(std::uint32_t tasks_per_machine) {
+  constexpr std::uint32_t kTasks = 40'000;
+  JobSpec running;
+  running.task_count = kTasks;
+  running.resources = {to_amount(0.1), 0, 0};
+  running.priority = Priority::low;
+  JobSpec urgent = running;
+  urgent.type = JobType::service;
+  urgent.priority = Priority::prod;
+  MachineType machine_type;
+  machine_type.capacity = running.resources * tasks_per_machine;
+  machine_type.fetch_gb_per_s = 1;
+  wrenusher::placement::PreemptionView view;
+  view.jobs.resize(1);
+  view.jobs[0].spec = &urgent;
+  view.jobs[0].waiting = kTasks;
+  view.machines.resize(kTasks / tasks_per_machine);
+  std::vector<wrenusher::placement::RunningTask> tasks;
+  for (std::size_t n = 0; n < view.machines.size(); ++n) {
+    view.machines[n].machine_type = &machine_type;
+    view.machines[n].free.task_slots = kMaxTasksPerMachine - tasks_per_machine;
+    for (std::uint32_t task = 0; task < tasks_per_machine; ++task)
+      tasks.push_back({.machine = n, .spec = &running, .task = task, .remaining = from_seconds(60)});
+  }
+  const std::vector<wrenusher::placement::Shortage> shortages = {{0, kTasks}};
+  std::size_t chosen = 0;
+  const double seconds = processor_seconds(
+      [&] { chosen = wrenusher::placement::choose_preemptions(view, shortages, tasks).size(); });
+  EXPECT_EQ(chosen, kTasks);
+  return seconds;
+}
+
+}  // namespace
+
+// Guards against a leader that answers nobody while it makes room for an urgent job: for each task, all tasks
+// of the machine that had been chosen before used to be visited again.
+TEST(LargeJobsTest, PreemptionOfJobCostsTheSameWithManyTasksPerMachine) {
+  constexpr double kMaxGrowth = 3;
+  double few_per_machine = 1;
+  double many_per_machine = 1;
+  for (int i = 0; i < 3; ++i) {
+    few_per_machine = std::min(few_per_machine, preemption_seconds(10));
+    many_per_machine = std::min(many_per_machine, preemption_seconds(kTasksPerMachine));
+  }
+  EXPECT_LT(many_per_machine, few_per_machine * kMaxGrowth)
+      << few_per_machine << " s and " << many_per_machine << " s";
+}
