--- a/testbed/live/include/wrenusher/testbed/live_testbed.hpp
+++ b/testbed/live/include/wrenusher/testbed/live_testbed.hpp
@@ -102,7 +102,7 @@
 
  private:
   struct Child;
-  std::string settings_json(int controller) const;
+  class CommandWords;
   std::string topology_path() const;
   std::string tunables_path() const;
   std::string tunables_text() const;
@@ -114,6 +114,18 @@
   void serve_control(const Request& request, const Responder& respond);
   void check_response(const Request& request, const runtime::CallResult& result, Instant sent_at);
   int controller_index(const std::string& name) const;
+  const std::string& machine_in(const CommandWords& words) const;
+  std::string perform_kill(const CommandWords& words);
+  std::string perform_cut(const CommandWords& words);
+  void cut_from_all(const std::string& name, LinkCut cut);
+  std::string perform_heal(const CommandWords& words);
+  std::string perform_outage(const CommandWords& words);
+  std::string perform_take(const CommandWords& words);
+  std::string perform_die(const CommandWords& words);
+  std::string perform_hang(const CommandWords& words);
+  std::string perform_submit(const CommandWords& words);
+  std::string perform_withdraw(const CommandWords& words);
+  std::string perform_jobs(const CommandWords& words);
 
   net::UvRuntime& runtime_;
   TestbedOptions options_;
--- a/testbed/live/live_testbed.cpp
+++ b/testbed/live/live_testbed.cpp
@@ -9,30 +9,18 @@
 #include <algorithm>
 #include <filesystem>
 #include <fstream>
-#include <nlohmann/json.hpp>
 
 #include "wrenusher/testbed/answers.hpp"
+#include "wrenusher/testbed/controller_settings.hpp"
+#include "wrenusher/testbed/live_child.hpp"
 
 namespace wrenusher::testbed {
 
 namespace {
 
-constexpr Micros kRestartDelay = from_seconds(1);
 constexpr Micros kUserRequestTimeout = from_seconds(5);
-// Offsets from the testbed's first port. The first two ports are the balancer's and the control interface's;
-// then come blocks of ten with one port for each controller.
-constexpr int kClientPort = 10;
-constexpr int kPeerPort = 20;
-constexpr int kKvPort = 30;
-constexpr int kCloudPort = 40;
-constexpr int kRelayPort = 50;  // a block of ten for each controller, one port for each of its peers
-constexpr int kMachinePort = 200;
 constexpr int kMaxControllers = 9;
 
-std::string controller_name(int i) {
-  return "c" + std::to_string(i);
-}
-
 std::unique_ptr<DurableStorage> make_storage(const TestbedOptions& o) {
   if (o.data.empty()) return std::make_unique<MemoryStorage>();
   return open_sqlite(o.data + "/state");
@@ -44,38 +32,8 @@
   return out;
 }
 
-std::string join_words(const std::vector<std::string>& words) {
-  std::string out;
-  for (const std::string& w : words) out += (out.empty() ? "" : " ") + w;
-  return out;
-}
-
 }  // namespace
 
-Folder::Folder(const std::string& requested_path) : path_(requested_path), keep_(!requested_path.empty()) {
-  if (keep_) {
-    std::error_code error;
-    std::filesystem::create_directories(path_, error);
-    if (error) throw TestbedError(path_ + ": cannot be created: " + error.message());
-    return;
-  }
-  path_ = (std::filesystem::temp_directory_path() / "wrenusher-testbed-XXXXXX").string();
-  if (mkdtemp(path_.data()) == nullptr) throw TestbedError(path_ + ": cannot create a temporary folder");
-}
-
-Folder::~Folder() {
-  std::error_code ignored;
-  if (!keep_) std::filesystem::remove_all(path_, ignored);
-}
-
-struct LiveTestbed::Child {
-  LiveTestbed* testbed = nullptr;
-  int number = 0;
-  uv_process_t process{};
-  bool running = false;
-  Micros restart_delay = kRestartDelay;  ///< applies to the next exit only
-};
-
 LiveTestbed::LiveTestbed(net::UvRuntime& runtime, TestbedOptions options)
     : runtime_(runtime),
       options_(std::move(options)),
@@ -120,7 +78,7 @@
   for (int i = 0; i < options_.controllers; ++i) {
     const std::string file = folder_.path() + "/" + controller_name(i) + ".json";
     std::ofstream out(file);
-    out << settings_json(i);
+    out << controller_settings(options_, i);
     if (!out.flush()) throw TestbedError(file + ": cannot be written");
     children_.push_back(std::make_unique<Child>());
     children_.back()->testbed = this;
@@ -184,59 +142,6 @@
   }
 }
 
-std::string LiveTestbed::settings_json(int i) const {
-  using nlohmann::json;
-  const Settings& s = options_.site.settings;
-  const auto zone = [&](int k) { return s.zones[static_cast<std::size_t>(k) % s.zones.size()]; };
-  json peers = json::array();
-  for (int k = 0; k < options_.controllers; ++k) {
-    if (k != i)
-      peers.push_back({{"host_name", controller_name(k)},
-                       {"zone", zone(k)},
-                       {"peer_addr", loopback(options_.port + kRelayPort + 10 * i + k)}});
-  }
-  json teams = json::array();
-  for (const auto& t : s.teams)
-    teams.push_back({{"name", t.name},
-                     {"cpus", t.cores},
-                     {"cpus_max", t.cores_max},
-                     {"gpus", t.gpus},
-                     {"gpus_max", t.gpus_max}});
-  json objectives = json::array();
-  for (const auto& o : s.objectives) {
-    json objective = {{"kind", o.kind}, {"class", o.job_class}, {"share", 0.9}, {"times", o.deadline_factor}};
-    if (o.within.count() > 0) objective["within_s"] = to_seconds(o.within);
-    objectives.push_back(std::move(objective));
-  }
-  const json all = {{"host_name", controller_name(i)},
-                    {"zone", zone(i)},
-                    {"client_listen", client(i)},
-                    {"peer_listen", loopback(options_.port + kPeerPort + i)},
-                    {"peers", peers},
-                    {"services",
-                     {{"cloud", loopback(options_.port + kCloudPort + i)},
-                      {"state", loopback(options_.port + kKvPort + i)}}},
-                    {"cluster",
-                     {{"size", options_.controllers},
-                      {"zones", s.zones},
-                      {"teams", teams},
-                      {"objectives", objectives},
-                      {"workers",
-                       {{"report_s", to_seconds(s.report_interval)},
-                        {"lease_s", to_seconds(s.worker_lease)},
-                        {"gang_wait_s", to_seconds(s.gang_start_timeout)},
-                        {"gang_peer_s", to_seconds(s.gang_peer_timeout)},
-                        {"cancel_s", to_seconds(s.cancel_deadline)}}},
-                      {"state",
-                       {{"rps", s.state_rps},
-                        {"write_rps", s.state_write_rps},
-                        {"value_kb", s.value_kb},
-                        {"txn_ops", s.txn_ops}}},
-                      {"cloud", {{"rps", s.cloud_rps}, {"list_lag_s", to_seconds(s.list_lag)}}},
-                      {"limits", {{"max_sockets", s.max_sockets}}}}}};
-  return all.dump(2) + "\n";
-}
-
 // ---------------------------------------------------------------- children
 
 int run_child(char** args) {
@@ -428,161 +333,4 @@
   }
 }
 
-// ---------------------------------------------------------------- commands
-
-int LiveTestbed::controller_index(const std::string& name) const {
-  const std::string node = name == "leader" ? leader() : name;
-  for (int i = 0; i < options_.controllers; ++i) {
-    if (node == controller_name(i)) return i;
-  }
-  return -1;
-}
-
-std::string LiveTestbed::submit(const std::string& queue) {
-  const auto& classes = options_.site.classes;
-  const auto c =
-      std::find_if(classes.begin(), classes.end(), [&](const JobClass& x) { return x.name == queue; });
-  if (c == classes.end()) {
-    std::string names;
-    for (const JobClass& x : classes) names += (names.empty() ? "" : ", ") + x.name;
-    throw TestbedError("no class '" + queue + "' at this site (there are: " + names + ")");
-  }
-  SimulatedJob j =
-      draw_job(options_.site, *c,
-               static_cast<int>(runtime_.wall_time().time_since_epoch() / from_seconds(1) % 1000000) * 100 +
-                   ++submitted_jobs_,
-               runtime_.random());
-  users_.submit(j);
-  return j.spec.job_id;
-}
-
-std::string LiveTestbed::perform(const std::vector<std::string>& words) {
-  const auto word = [&](std::size_t i) -> const std::string& {
-    if (i >= words.size())
-      throw TestbedError("'" + join_words(words) + "': an argument is missing at the end");
-    return words[i];
-  };
-  const auto duration = [&](std::size_t i, const char* default_text) {
-    const std::string& text = i < words.size() ? words[i] : default_text;
-    const auto d = parse_duration(text);
-    if (!d) throw TestbedError("'" + text + "' is not a duration with a unit, like 10s");
-    return *d;
-  };
-  const std::string& verb = word(0);
-  const auto machine = [&]() -> const std::string& {
-    const auto up = machines_.up();
-    if (std::find(up.begin(), up.end(), word(1)) == up.end())
-      throw TestbedError("no machine " + word(1) + " is up");
-    return words[1];
-  };
-  if (verb == "kill") {
-    const int c = controller_index(word(1));
-    if (c < 0 || !children_[static_cast<std::size_t>(c)]->running)
-      throw TestbedError("no controller " + word(1) + " is running");
-    Child& child = *children_[static_cast<std::size_t>(c)];
-    child.restart_delay = duration(2, "1s");
-    uv_process_kill(&child.process, SIGKILL);
-    char delay_text[32];
-    std::snprintf(delay_text, sizeof delay_text, "%g s", to_seconds(child.restart_delay));
-    return controller_name(c) + " is killed and restarts after " + delay_text;
-  }
-  if (verb == "cut") {
-    const LinkCut cut = words.size() > 3 && words[3] == "reset" ? LinkCut::reset : LinkCut::hold;
-    if (word(2) == "all") {
-      std::vector<std::string> others{"state", "cloud", "user", ""};
-      for (int i = 0; i < options_.controllers; ++i) others.push_back(controller_name(i));
-      for (const std::string& m : machines_.up()) others.push_back(m);
-      for (const std::string& o : others) {
-        if (o != words[1]) transport_.links.cut(words[1], o, cut);
-      }
-    } else if (word(1) == "zone") {
-      transport_.links.cut_zone(words[2], cut);
-    } else {
-      transport_.links.cut(words[1], words[2], cut);
-    }
-    return words[1] + " and " + words[2] + " are disconnected from each other until 'heal'";
-  }
-  if (verb == "heal") {
-    transport_.heal();
-    kv_service_.outage(false);
-    cloud_.outage(false);
-    for (int i = 0; i < options_.controllers; ++i) kv_service_.refuse(controller_name(i), false);
-    return "all links, the state service and the cloud are restored";
-  }
-  if (verb == "outage") {
-    const Micros d = duration(2, "10s");
-    if (word(1) == "state") {
-      kv_service_.outage(true);
-      runtime_.after(d, [this] { kv_service_.outage(false); });
-    } else if (words[1] == "cloud") {
-      cloud_.outage(true);
-      runtime_.after(d, [this] { cloud_.outage(false); });
-    } else if (const int c = controller_index(words[1]); c >= 0) {
-      kv_service_.refuse(controller_name(c), true);
-      runtime_.after(d, [this, c] { kv_service_.refuse(controller_name(c), false); });
-    } else {
-      throw TestbedError("outage: must be 'state', 'cloud' or a controller, not '" + words[1] + "'");
-    }
-    return words[1] + " has an outage";
-  }
-  if (verb == "take") {
-    machines_.reclaim(machine(), duration(2, "20s"));
-    return words[1] + " will be reclaimed if it is a spot machine";
-  }
-  if (verb == "die") {
-    machines_.die(machine());
-    return words[1] + " has stopped with all its tasks";
-  }
-  if (verb == "hang") {
-    machines_.hang(machine(), duration(2, "10s"));
-    return words[1] + " hangs";
-  }
-  if (verb == "submit") {
-    const int n = words.size() > 2 ? std::atoi(words[2].c_str()) : 1;
-    if (n < 1 || n > 1000)
-      throw TestbedError("submit: the number of jobs must be between 1 and 1000, not '" + words[2] + "'");
-    std::string job_ids;
-    for (int i = 0; i < n; ++i) job_ids += (job_ids.empty() ? "" : " ") + submit(word(1));
-    return "submitted " + job_ids;
-  }
-  if (verb == "withdraw") {
-    if (!users_.jobs().contains(word(1)))
-      throw TestbedError("no job " + words[1] + " was submitted by this testbed");
-    users_.cancel(words[1]);
-    return "requested withdrawal of " + words[1];
-  }
-  if (verb == "jobs") {
-    std::string out;
-    for (const auto& [ref, job] : users_.jobs())
-      out += ref + "  " + machines_.job(ref)->spec.job_class + "  " +
-             (job.refused != 0    ? "refused"
-              : job.state.empty() ? "sent"
-                                  : job.state) +
-             "\n";
-    return out.empty() ? "no job was submitted by this testbed yet" : out.substr(0, out.size() - 1);
-  }
-  throw TestbedError("'" + verb +
-                     "' is none of kill, cut, heal, outage, take, die, hang, submit, withdraw, jobs");
-}
-
-void LiveTestbed::serve_control(const Request& request, const Responder& respond) {
-  if (request.method == "GET" && request.target == "/status") {
-    respond(reply(200, status()));
-    return;
-  }
-  const auto v = decode(request.body);
-  const Value::List* list = v ? (*v)["words"].list() : nullptr;
-  if (request.method != "POST" || request.target != "/act" || list == nullptr || list->empty()) {
-    respond(malformed("expected GET /status, or POST /act with a list of words"));
-    return;
-  }
-  std::vector<std::string> words;
-  for (const Value& w : *list) words.push_back(w.text() != nullptr ? *w.text() : "");
-  try {
-    respond(reply(200, Value::Map{{"said", perform(words)}}));
-  } catch (const TestbedError& e) {
-    respond(malformed(e.what()));
-  }
-}
-
 }  // namespace wrenusher::testbed
